--- /dev/null
+++ b/include/cassiaferry/config.h
@@ -0,0 +1,155 @@
+// Operators' configuration: teams, upstreams, policies, comparisons, limits.
+//
+// Contents
+//   [1] Checking JSON
+//   [2] The configuration
+//   [3] Reading and merging
+
+#ifndef CASSIAFERRY_CONFIG_H_
+#define CASSIAFERRY_CONFIG_H_
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cassiaferry/ids.h"
+
+namespace cassiaferry {
+
+// ---- [1] Checking JSON ------------------------------------------------------
+
+// One thing wrong with a document.
+struct config_error {
+  std::string path;     // JSON pointer, "/policies/fast/kind"
+  std::string message;  // what is wrong and what would be right
+};
+
+enum class field_kind : uint8_t {
+  integer,
+  number,
+  boolean,
+  text,
+  object,
+  array
+};
+
+// What one member of an object may be. `low` and `high` bound numbers, and the
+// length of texts and arrays.
+struct field_rule {
+  const char* name;
+  field_kind kind;
+  double low = 0;
+  double high = 1e15;
+  bool required = false;
+};
+
+// Appends an error for each unknown member, wrong type, value out of range and
+// missing required member.
+void CheckObject(const nlohmann::json& object,
+                 const std::vector<field_rule>& rules,
+                 const std::string& path,
+                 std::vector<config_error>& errors);
+
+// Parses with a bound on nesting, so that a deep document can't exhaust the
+// stack. False: not JSON; `error` says where.
+bool ParseJson(const std::string& text,
+               nlohmann::json& out,
+               std::string& error);
+
+constexpr int kMaxJsonDepth = 32;
+
+// ---- [2] The configuration --------------------------------------------------
+
+enum class policy_kind : uint8_t {
+  random,
+  round_robin,
+  two_choices,
+  batch_sampling,
+  slot_offer
+};
+enum class job_order : uint8_t { first_come, fewest_remaining };
+
+struct policy_config {
+  std::string name;
+  policy_kind kind = policy_kind::slot_offer;
+  job_order order = job_order::fewest_remaining;
+  int64_t ageing_ms =
+      50;  // a task left to start weighs as much as this much later arrival
+  uint32_t choices = 2;    // two_choices: workers sampled for each task
+  double probe_ratio = 2;  // batch_sampling: probes for each task
+  uint32_t fanout = 4;     // slot_offer: sidecars told of a new backlog
+  uint32_t improve_fanout =
+      2;  // slot_offer: sidecars told that an earlier job waits
+  int64_t improve_ms = 200;  // slot_offer: how much earlier it must be to tell
+};
+
+struct team_config {
+  std::string name;
+  double weight = 1;  // share of slots when slots are short
+  uint32_t max_waiting_tasks =
+      5000;  // in one entry; more is refused as team_quota
+};
+
+struct upstream_config {
+  std::string name;
+};
+
+// Splits jobs among policies, so that two can be compared on live traffic.
+struct comparison_config {
+  std::string name;
+  std::string team;                                   // empty: every team
+  std::vector<std::pair<std::string, double>> split;  // policy, share of jobs
+};
+
+struct limits_config {
+  uint32_t max_tasks_per_job = 1000;
+  uint32_t max_payload_bytes = 65'536;  // of one task
+  uint32_t max_waiting_tasks = 20'000;  // in one entry
+  int64_t max_deadline_ms = 120'000;
+  int64_t default_deadline_ms = 30'000;  // where a job names none
+  int64_t keep_outcome_ms = 600'000;     // of a keyed job, for repeats
+};
+
+struct configuration {
+  std::map<std::string, team_config> teams;
+  std::map<std::string, upstream_config> upstreams;
+  std::vector<policy_config> policies;  // in name order
+  std::string default_policy;
+  std::map<std::string, comparison_config> comparisons;
+  limits_config limits;
+};
+
+const char* ToText(policy_kind kind);
+const char* ToText(job_order order);
+
+// ---- [3] Reading and merging ------------------------------------------------
+
+// Checks form (members, types, ranges), and for a whole document references
+// too.
+enum class check_scope : uint8_t { one_file, whole };
+std::vector<config_error> CheckConfig(const nlohmann::json& document,
+                                      check_scope scope);
+
+// Requires a document in which CheckConfig finds nothing.
+configuration ReadConfig(const nlohmann::json& document);
+
+// One file of the operators' folder.
+struct config_file {
+  std::string name;
+  std::string text;
+};
+
+struct merged_config {
+  nlohmann::json document = nlohmann::json::object();
+  std::vector<std::string> errors;  // each names file and path
+};
+
+// Merges in the order of names (JSON merge patch) and checks all.
+merged_config MergeConfig(std::vector<config_file> files);
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_CONFIG_H_
--- /dev/null
+++ b/include/cassiaferry/entry.h
@@ -0,0 +1,317 @@
+// Decisions of an entry: takes jobs, places their tasks, answers.
+//
+// Pure: no thread, clock or socket. Feed events to `Tick`, carry out the
+// actions that it returns.
+//
+// Contents
+//   [1] Options
+//   [2] Jobs as callers send them
+//   [3] Events
+//   [4] Actions
+//   [5] Tables
+//   [6] State
+//   [7] Calls
+
+#ifndef CASSIAFERRY_ENTRY_H_
+#define CASSIAFERRY_ENTRY_H_
+
+#include <deque>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+#include "cassiaferry/claims.h"
+#include "cassiaferry/config.h"
+#include "cassiaferry/ids.h"
+#include "cassiaferry/messages.h"
+#include "cassiaferry/metrics.h"
+#include "cassiaferry/policy.h"
+#include "cassiaferry/verdict.h"
+
+namespace cassiaferry {
+
+// ---- [1] Options ------------------------------------------------------------
+
+struct entry_options {
+  std::string name;  // from settings
+  std::string failure_domain;
+  std::string link_address;        // where sidecars dial this entry, "ip:port"
+  std::string http_address;        // where other entries ask it, "ip:port"
+  incarnation self;                // random, new with each process
+  uint64_t seed = 1;               // of the random numbers used in decisions
+  micros heartbeat = Millis(500);  // an idle stream carries one frame each
+  micros silence =
+      Millis(2000);  // without a frame for this long a stream is given up
+  micros lost_grace =
+      Millis(5000);  // a lost sidecar's tasks are "may have run" after this
+  micros forget_worker =
+      Millis(60'000);          // a lost worker's row is reused after this
+  size_t explain_keep = 4096;  // finished jobs remembered for `ctl explain`
+};
+
+// ---- [2] Jobs as callers send them ------------------------------------------
+
+struct task_request {
+  std::string payload;
+  uint32_t cores = 1;
+  uint64_t memory_mb = 1;
+  int64_t expected_ms = 0;  // declared, often wrong: never relied on
+};
+
+struct job_request {
+  std::string team;
+  std::string upstream;
+  int64_t deadline_ms = 0;  // 0: the configured default
+  std::string key;          // empty: not keyed
+  uint64_t digest = 0;      // of the body
+  std::vector<task_request> tasks;
+};
+
+// ---- [3] Events -------------------------------------------------------------
+
+using link_id = strong_id<struct link_tag,
+                          uint64_t>;  // one stream accepted by this process
+
+struct job_submitted {
+  ticket_id ticket;
+  job_request request;
+};
+struct job_invalid {  // a body that could be read but not accepted
+  ticket_id ticket;
+  failure why;
+};
+struct caller_gone {
+  ticket_id ticket;
+};
+struct sidecar_frame_received {
+  link_id link;
+  sidecar_frame frame;
+};
+struct sidecar_link_lost {
+  link_id link;
+};
+struct config_received {
+  config_document document;  // checked
+};
+struct peers_changed {
+  std::vector<std::string> link_addresses;
+};
+struct entry_drain_requested {};
+struct wall_clock {  // only for the expiry of kept outcomes
+  int64_t ms = 0;
+};
+
+using entry_event = std::variant<job_submitted,
+                                 job_invalid,
+                                 caller_gone,
+                                 sidecar_frame_received,
+                                 sidecar_link_lost,
+                                 config_received,
+                                 peers_changed,
+                                 entry_drain_requested,
+                                 wall_clock,
+                                 transaction_reply,
+                                 read_reply,
+                                 owner_reply>;
+
+// ---- [4] Actions ------------------------------------------------------------
+
+struct answer_complete {
+  ticket_id ticket;
+  job_id job;
+  std::vector<std::string> outputs;  // in the order of tasks, all of them
+};
+struct answer_failed {
+  ticket_id ticket;
+  job_id job;
+  failure why;
+};
+struct answer_repeated {  // a keyed job's outcome, again
+  ticket_id ticket;
+  std::string outcome;  // JSON, as first answered
+};
+struct send_to_sidecar {
+  link_id link;
+  entry_frame frame;
+};
+struct close_link {
+  link_id link;
+};
+struct config_adopted {  // newer than before: to be told to peers
+  config_document document;
+};
+struct entry_drained {};
+
+using entry_action = std::variant<answer_complete,
+                                  answer_failed,
+                                  answer_repeated,
+                                  send_to_sidecar,
+                                  close_link,
+                                  config_adopted,
+                                  entry_drained,
+                                  claim_action>;
+
+// ---- [5] Tables -------------------------------------------------------------
+
+enum class task_state : uint8_t { waiting, sent, done };
+
+struct task_row {
+  task_request request;
+  task_state state = task_state::waiting;
+  worker_id worker;    // while sent
+  std::string output;  // once done
+};
+
+struct job_row {
+  job_id id;
+  ticket_id ticket;
+  std::string team;
+  std::string upstream;
+  std::string key;  // empty: not keyed
+  policy_config
+      policy;  // a copy: a change of configuration leaves the job as it is
+  micros arrival{0};
+  micros deadline{0};
+  std::vector<task_row> tasks;
+  std::vector<uint32_t> waiting;  // indices, last is next
+  uint32_t sent = 0;
+  uint32_t done = 0;
+  bool claiming = false;      // its key is not claimed yet: nothing may start
+  bool may_have_run = false;  // a task's fate is unknown, or it ran
+  bool queued = false;        // stands in the waiting table under `order`
+  order_key order;
+  std::map<worker_id, uint32_t> probes;  // batch_sampling: unanswered probes
+  uint32_t longest_run_ms = 0;
+  uint32_t retries = 0;
+};
+
+// How a worker behaves, from its results.
+struct worker_health {
+  double ok = 0;                // recent results, decayed
+  double failed = 0;            // recent failures, one per job, decayed
+  job_seq last_failed_job;      // so that one bad job counts once
+  micros ejected_until{0};      // no work before this
+  uint32_t ejections = 0;       // in a row; each doubles the time out
+  uint32_t probation_left = 0;  // results to come before it is trusted again
+  double speed = 1;             // run time against the upstream's mean, decayed
+  uint32_t speed_samples = 0;
+};
+
+enum class worker_link : uint8_t { down, greeting, up };
+
+struct worker_row {
+  std::string name;
+  incarnation sidecar;
+  std::string failure_domain;
+  worker_link state = worker_link::down;
+  link_id link;
+  link_epoch epoch;
+  uint64_t memory = 0;  // token of the sidecar's memory of this entry
+  upstream_info upstream;
+  worker_load load;          // newest view
+  uint32_t starts_sent = 0;  // on this stream
+  uint32_t reserved =
+      0;  // slots offered or granted, not yet used or given back
+  std::set<task_ref> unresolved;  // sent, no result yet
+  uint64_t acked_through = 0;
+  micros last_heard{0};
+  micros last_sent{0};
+  micros lost_since{0};
+  order_key told = kNoBacklog;  // backlog that the sidecar believes, absolute
+  config_version version;       // that the sidecar has
+  config_version version_sent;
+  worker_health health;
+  entry_frame outbox;  // filled during a tick, sent at its end
+  bool must_send = false;
+};
+
+// Everything known of one upstream, across its workers.
+struct upstream_row {
+  double mean_run_ms = 0;  // decayed
+  double ok = 0;           // recent results of all workers, decayed
+  double failed = 0;
+  uint32_t most_cores =
+      0;  // of any worker ever seen; a job above can never run
+  uint64_t most_memory_mb = 0;
+  double drain_per_s = 0;  // tasks finished a second, decayed
+  micros drain_updated{0};
+  uint32_t finished_since = 0;
+  std::map<std::string, std::set<std::pair<order_key, job_seq>>>
+      waiting;  // by team, in order
+  uint32_t waiting_tasks = 0;
+};
+
+struct team_row {
+  uint32_t waiting_tasks = 0;
+  uint32_t sent_tasks = 0;
+};
+
+// What `ctl explain` tells of a finished job.
+struct finished_job {
+  job_id id;
+  std::string team;
+  std::string policy;
+  size_t tasks = 0;
+  uint32_t retries = 0;
+  reason why = reason::none;
+  verdict what = verdict::ran;
+  std::string message;
+  int64_t response_ms = 0;
+};
+
+// ---- [6] State --------------------------------------------------------------
+
+struct entry_state {
+  entry_options options;
+  random_source random;
+  bool draining = false;
+  bool drained_said = false;
+  config_document document;
+  configuration config;
+  std::vector<std::string> peers;
+  int64_t wall_ms = 0;
+  uint64_t next_job = 1;
+  uint64_t turn = 0;  // of round robin
+  std::unordered_map<job_seq, job_row> jobs;
+  std::unordered_map<ticket_id, job_seq> tickets;
+  std::set<std::pair<micros, job_seq>> deadlines;
+  std::set<job_seq> unplaced;       // of pushing policies, with waiting tasks
+  std::vector<worker_row> workers;  // by worker_id
+  std::unordered_map<std::string, worker_id> worker_names;
+  std::unordered_map<link_id, worker_id> links;
+  std::map<std::string, upstream_row> upstreams;
+  std::map<std::string, team_row> teams;
+  uint32_t waiting_tasks = 0;
+  uint32_t sent_tasks = 0;
+  claims_state claims;
+  counters metrics;
+  policy_metrics_table policies;
+  std::deque<finished_job> finished;
+  std::vector<entry_action> actions;  // of the tick in progress
+};
+
+// ---- [7] Calls --------------------------------------------------------------
+
+entry_state MakeEntry(entry_options options);
+
+// Takes all events that have queued up, decides, and returns what to do.
+// `now` never goes back. Call at least every 50 ms.
+std::vector<entry_action> Tick(entry_state& s,
+                               micros now,
+                               std::vector<entry_event> events);
+
+bool IsReady(const entry_state& s);  // has a configuration and is not draining
+
+nlohmann::json StatusOf(const entry_state& s, micros now);
+nlohmann::json ExplainJob(const entry_state& s,
+                          micros now,
+                          const job_id& id);  // null: not known here
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_ENTRY_H_
--- /dev/null
+++ b/include/cassiaferry/ids.h
@@ -0,0 +1,104 @@
+// Strong types for identifiers and units.
+//
+// Contents
+//   [1] Identifiers
+//   [2] Time
+//   [3] Text forms
+
+#ifndef CASSIAFERRY_IDS_H_
+#define CASSIAFERRY_IDS_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cassiaferry {
+
+// ---- [1] Identifiers --------------------------------------------------------
+
+// An integer that can't be mixed up with another kind of integer.
+template <typename Tag, typename Rep>
+struct strong_id {
+  Rep value = 0;
+  auto operator<=>(const strong_id&) const = default;
+};
+
+using incarnation = strong_id<struct incarnation_tag,
+                              uint64_t>;  // random, one per process start
+using link_epoch =
+    strong_id<struct epoch_tag, uint64_t>;  // grows with each stream of a pair
+using job_seq = strong_id<struct job_seq_tag,
+                          uint64_t>;  // unique within an entry incarnation
+using worker_id = strong_id<struct worker_tag,
+                            uint32_t>;  // index into an entry's worker table
+using entry_id = strong_id<struct entry_tag,
+                           uint32_t>;  // index into a sidecar's entry table
+using ticket_id = strong_id<struct ticket_tag,
+                            uint64_t>;  // one caller's request inside an entry
+using config_version =
+    strong_id<struct config_tag,
+              uint64_t>;  // grows with each accepted change; 0: none
+
+// Names one task within the stream of one entry incarnation.
+struct task_ref {
+  job_seq job;
+  uint32_t index = 0;
+  auto operator<=>(const task_ref&) const = default;
+};
+
+// Names a job for callers and operators, across entries and restarts.
+struct job_id {
+  incarnation entry;
+  job_seq seq;
+  auto operator<=>(const job_id&) const = default;
+};
+
+// ---- [2] Time ---------------------------------------------------------------
+
+// Core code never reads a clock: every tick is told the time.
+using micros =
+    strong_id<struct micros_tag,
+              int64_t>;  // microseconds on the process's monotonic clock
+
+constexpr micros Millis(int64_t ms) {
+  return micros{ms * 1000};
+}
+constexpr micros operator+(micros a, micros b) {
+  return micros{a.value + b.value};
+}
+constexpr micros operator-(micros a, micros b) {
+  return micros{a.value - b.value};
+}
+constexpr int64_t ToMillis(micros t) {
+  return t.value / 1000;
+}
+
+// ---- [3] Text forms ---------------------------------------------------------
+
+std::string ToText(
+    const job_id& id);  // "00ab..-12": incarnation in hex, sequence
+std::optional<job_id> ParseJobId(
+    std::string_view text);         // empty: not the form that ToText writes
+std::string ToHex(uint64_t value);  // 16 digits
+
+}  // namespace cassiaferry
+
+template <typename Tag, typename Rep>
+struct std::hash<cassiaferry::strong_id<Tag, Rep>> {
+  size_t operator()(const cassiaferry::strong_id<Tag, Rep>& id) const {
+    return std::hash<Rep>()(id.value);
+  }
+};
+
+template <>
+struct std::hash<cassiaferry::task_ref> {
+  size_t operator()(const cassiaferry::task_ref& ref) const {
+    return std::hash<uint64_t>()(ref.job.value * 0x9E3779B97F4A7C15ULL +
+                                 ref.index);
+  }
+};
+
+#endif  // CASSIAFERRY_IDS_H_
--- /dev/null
+++ b/include/cassiaferry/metrics.h
@@ -0,0 +1,99 @@
+// Counters and distributions that every process keeps.
+//
+// Contents
+//   [1] Counters
+//   [2] Distributions
+//   [3] Prometheus text
+
+#ifndef CASSIAFERRY_METRICS_H_
+#define CASSIAFERRY_METRICS_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cassiaferry/messages.h"
+#include "cassiaferry/verdict.h"
+
+namespace cassiaferry {
+
+// ---- [1] Counters -----------------------------------------------------------
+
+// Why a task was sent again, or a record was thrown away.
+enum class retry_reason : uint8_t {
+  slot_taken,       // the sidecar had no free slot when the start arrived
+  queue_timeout,    // dropped from a sidecar's queue by its ttl
+  upstream_busy,    // the upstream refused, with proof that it did not run
+  never_started,    // reconciled after a broken stream as never started
+  fenced_frame,     // a frame of an older stream, dropped
+  duplicate_start,  // a start for a task already known, dropped
+  late_result,      // a result for a job already answered
+  count_,
+};
+
+const char* ToText(retry_reason r);
+
+struct counters {
+  std::array<uint64_t, static_cast<size_t>(reason::count_)>
+      refused{};  // by reason
+  std::array<uint64_t, static_cast<size_t>(retry_reason::count_)>
+      retried{};  // by reason
+  std::array<uint64_t, static_cast<size_t>(record_kind::count_)>
+      records{};  // sent, by kind
+  uint64_t jobs_received = 0;
+  uint64_t jobs_complete = 0;
+  uint64_t jobs_failed = 0;
+  uint64_t bytes_sent = 0;  // control bytes on streams, payloads included
+
+  void Refused(reason r) { ++refused[static_cast<size_t>(r)]; }
+  void Retried(retry_reason r) { ++retried[static_cast<size_t>(r)]; }
+  void Sent(record_kind k, uint64_t n = 1) {
+    records[static_cast<size_t>(k)] += n;
+  }
+};
+
+// ---- [2] Distributions ------------------------------------------------------
+
+// Streaming mean and quantiles (Boost.Accumulators, extended P-square):
+// constant memory, no samples kept. Estimates; the load tool keeps exact
+// samples instead.
+class distribution {
+ public:
+  distribution();
+  ~distribution();
+  distribution(distribution&&) noexcept;
+  distribution& operator=(distribution&&) noexcept;
+
+  void Add(double value);
+  uint64_t Count() const;
+  double Mean() const;
+  double Quantile(double q) const;  // q one of 0.5, 0.95, 0.99
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// What is kept of each policy, so that two of them can be compared live.
+struct policy_metrics {
+  uint64_t jobs = 0;
+  uint64_t complete = 0;
+  uint64_t tasks = 0;
+  distribution response_ms;
+  distribution queue_ms;  // from arrival of the job to the start of a task
+  distribution ratio;     // response against the longest task alone
+};
+
+using policy_metrics_table =
+    std::map<std::string, policy_metrics>;  // by policy name
+
+// ---- [3] Prometheus text ----------------------------------------------------
+
+std::string PrometheusText(const counters& c,
+                           const policy_metrics_table& policies);
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_METRICS_H_
--- /dev/null
+++ b/model/check.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+echo "model: not written yet"
--- /dev/null
+++ b/src/apps/entry_app.cc
@@ -0,0 +1,246 @@
+// Start, actions and end of an entry.
+//
+// Contents
+//   [1] Start
+//   [2] Actions
+//   [3] Run
+
+#include "entry_app.h"
+
+#include <glog/logging.h>
+
+#include <chrono>
+#include <optional>
+
+#include "app.h"
+
+namespace cassiaferry {
+
+namespace {
+
+constexpr char kPrefix[] = "entry: ";
+constexpr std::chrono::milliseconds kIdleTick{20};
+constexpr std::chrono::milliseconds kBackgroundPeriod{1000};
+constexpr std::chrono::milliseconds kStopPoll{20};
+constexpr micros kLingerAfterDrain = Millis(300);
+
+entry_options OptionsOf(const entry_settings& settings) {
+  entry_options o;
+  o.name = settings.name;
+  o.failure_domain = settings.failure_domain;
+  o.self = incarnation{RandomSeed()};
+  o.seed = RandomSeed();
+  return o;
+}
+
+}  // namespace
+
+// ---- [1] Start --------------------------------------------------------------
+
+entry_app::entry_app(entry_settings settings)
+    : settings_(std::move(settings)),
+      state_(MakeEntry(OptionsOf(settings_))),
+      platform_(http_client_, settings_.platform) {
+  links_ = std::make_unique<link_server>(
+      [this](link_id link, sidecar_frame frame) {
+        loop_.Post(sidecar_frame_received{link, std::move(frame)});
+      },
+      [this](link_id link) { loop_.Post(sidecar_link_lost{link}); });
+  http_server_options options;
+  options.address = settings_.http;
+  options.threads = settings_.traffic_threads;
+  options.max_body_bytes = settings_.max_body_bytes;
+  options.hard_body_bytes = settings_.max_body_bytes * 4;
+  options.max_connections = settings_.max_connections;
+  http_ = std::make_unique<http_server>(
+      options, [this](http_request r) { OnRequest(std::move(r)); },
+      [this](ticket_id ticket) { loop_.Post(caller_gone{ticket}); });
+}
+
+entry_app::~entry_app() = default;
+
+void entry_app::Drain() {
+  draining_ = true;
+  ready_ = false;
+  loop_.Post(entry_drain_requested{});
+}
+
+void entry_app::Start() {
+  std::string error;
+  const std::string link = links_->Start(settings_.link);
+  if (link.empty())
+    Die(kExitCantListen, kPrefix + std::string("can't listen on ") +
+                             settings_.link + " for sidecars");
+  const std::string http = http_->Start(error);
+  if (http.empty())
+    Die(kExitCantListen, kPrefix + error);
+  if (settings_.advertise_link.empty())
+    settings_.advertise_link = link;
+  if (settings_.advertise_http.empty())
+    settings_.advertise_http = http;
+  state_.options.link_address = settings_.advertise_link;
+  state_.options.http_address = settings_.advertise_http;
+  state_.claims.self_address = settings_.advertise_http;
+  LOG(INFO) << kPrefix << "serving callers on " << http << ", sidecars on "
+            << link << ", as " << settings_.name;
+  outgoing_thread_ = std::thread([this] {
+    outgoing_.Run(kBackgroundPeriod, [this](std::vector<entry_action> actions) {
+      for (entry_action& action : actions)
+        Act(action);
+    });
+  });
+  background_ = std::thread([this] {
+    while (!stopped_) {
+      Background();
+      for (auto waited = kStopPoll; waited < kBackgroundPeriod && !stopped_;
+           waited += kStopPoll)
+        std::this_thread::sleep_for(kStopPoll);
+    }
+  });
+  PrintReady({{"http", http}, {"link", link}, {"pid", getpid()}});
+}
+
+// ---- [2] Actions ------------------------------------------------------------
+
+namespace {
+
+std::string Dump(const nlohmann::json& j) {
+  return j.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+int64_t CeilSeconds(int64_t ms) {
+  return (ms + 999) / 1000;
+}
+
+int StatusOfOutcome(const nlohmann::json& outcome) {
+  if (outcome.value("state", "") == "complete")
+    return 200;
+  const std::string name = outcome.value("reason", "");
+  for (size_t i = 0; i < static_cast<size_t>(reason::count_); ++i) {
+    if (name == ToText(static_cast<reason>(i)))
+      return HttpStatus(static_cast<reason>(i));
+  }
+  return 502;
+}
+
+}  // namespace
+
+void entry_app::Answer(const answer_complete& answer) {
+  nlohmann::json results = nlohmann::json::array();
+  for (size_t i = 0; i < answer.outputs.size(); ++i)
+    results.push_back({{"task", i}, {"output", answer.outputs[i]}});
+  const nlohmann::json body = {{"job", ToText(answer.job)},
+                               {"state", "complete"},
+                               {"results", std::move(results)}};
+  ReplyJson(answer.ticket, 200, body);
+}
+
+void entry_app::Answer(const answer_failed& answer) {
+  const failure& f = answer.why;
+  http_response response;
+  response.status = HttpStatus(f.why);
+  response.retry_after_s = CeilSeconds(f.retry_after_ms);
+  response.body = Dump({{"job", ToText(answer.job)},
+                        {"state", "failed"},
+                        {"verdict", ToText(f.what)},
+                        {"reason", ToText(f.why)},
+                        {"message", f.message},
+                        {"retry_after_ms", f.retry_after_ms}});
+  http_->Answer(answer.ticket, response);
+}
+
+void entry_app::Ask(const ask_owner& ask) {
+  http_call call;
+  call.url = "http://" + ask.owner + "/internal/claims/" +
+             ToHex(ask.owner_life.value) + "/" + ToHex(ask.nonce);
+  call.headers = {"Authorization: Bearer " + settings_.admin_token};
+  call.timeout_ms = 1000;
+  http_client_.Start(std::move(call),
+                     [this, id = ask.call](const http_reply& reply) {
+                       owner_reply event;
+                       event.call = id;
+                       event.answered = reply.answered && reply.status == 200;
+                       if (reply.body == "running")
+                         event.state = nonce_state::running;
+                       else if (reply.body == "abandoned")
+                         event.state = nonce_state::abandoned;
+                       loop_.Post(event);
+                     });
+}
+
+void entry_app::ActClaim(claim_action& action) {
+  if (auto* transaction = std::get_if<table_transaction>(&action)) {
+    platform_.Transact(
+        transaction->ops, [this, id = transaction->call](
+                              bool ok, std::vector<table_result> results) {
+          loop_.Post(transaction_reply{id, ok, std::move(results)});
+        });
+  } else if (auto* read = std::get_if<table_read>(&action)) {
+    platform_.Read(read->keys,
+                   [this, id = read->call](
+                       bool ok, std::vector<std::optional<table_row>> rows) {
+                     loop_.Post(read_reply{id, ok, std::move(rows)});
+                   });
+  } else if (auto* ask = std::get_if<ask_owner>(&action)) {
+    Ask(*ask);
+  }
+}
+
+void entry_app::Act(entry_action& action) {
+  if (auto* complete = std::get_if<answer_complete>(&action)) {
+    Answer(*complete);
+  } else if (auto* failed = std::get_if<answer_failed>(&action)) {
+    Answer(*failed);
+  } else if (auto* repeated = std::get_if<answer_repeated>(&action)) {
+    const nlohmann::json outcome =
+        nlohmann::json::parse(repeated->outcome, nullptr, false);
+    http_response response;
+    response.status = StatusOfOutcome(outcome);
+    response.body = repeated->outcome;
+    http_->Answer(repeated->ticket, response);
+  } else if (auto* send = std::get_if<send_to_sidecar>(&action)) {
+    links_->Send(send->link, send->frame);
+  } else if (auto* close = std::get_if<close_link>(&action)) {
+    links_->Close(close->link);
+  } else if (auto* adopted = std::get_if<config_adopted>(&action)) {
+    AdoptDocument(adopted->document);
+  } else if (auto* claim = std::get_if<claim_action>(&action)) {
+    ActClaim(*claim);
+  }
+}
+
+// ---- [3] Run ----------------------------------------------------------------
+
+// When every job is answered, and for a while longer, so that a balancer which
+// has not yet seen the refusing /readyz gets a refusal and not a closed
+// connection.
+bool entry_app::MayStop() {
+  if (!drained_)
+    return false;
+  if (drained_at_.value == 0)
+    drained_at_ = Now();
+  return Now() - drained_at_ > kLingerAfterDrain && http_->Pending() == 0;
+}
+
+void entry_app::Run() {
+  loop_.Run(kIdleTick, [this](std::vector<entry_event> events) {
+    events.push_back(wall_clock{WallMillis()});
+    std::vector<entry_action> actions = Tick(state_, Now(), std::move(events));
+    for (entry_action& action : actions) {
+      drained_ = drained_ || std::holds_alternative<entry_drained>(action);
+      outgoing_.Post(std::move(action));
+    }
+    if (MayStop())
+      loop_.Stop();
+  });
+  stopped_ = true;
+  background_.join();
+  links_->Finish();
+  http_->Stop();
+  outgoing_.Stop();
+  outgoing_thread_.join();
+  http_client_.Stop();
+  LOG(INFO) << kPrefix << "stopped, with nothing left";
+}
+
+}  // namespace cassiaferry
--- /dev/null
+++ b/src/apps/entry_app.h
@@ -0,0 +1,135 @@
+// cassiaferry-entry: wiring of the entry's decisions to HTTP, streams and the
+// platform.
+//
+// Threads: HTTP and gRPC threads parse and post events; the control thread
+// ticks; the outgoing thread serializes and sends what a tick decided.
+
+#ifndef CASSIAFERRY_SRC_APPS_ENTRY_APP_H_
+#define CASSIAFERRY_SRC_APPS_ENTRY_APP_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "../net/control_loop.h"
+#include "../net/http_client.h"
+#include "../net/http_server.h"
+#include "../net/link_server.h"
+#include "../net/platform_client.h"
+#include "cassiaferry/entry.h"
+
+namespace cassiaferry {
+
+struct entry_settings {
+  std::string name;
+  std::string failure_domain;
+  std::string http;            // ip:port to listen on for callers
+  std::string link;            // ip:port to listen on for sidecars
+  std::string advertise_http;  // what others dial; empty: as listened on
+  std::string advertise_link;
+  std::string platform;  // ip:port; empty: none
+  std::vector<std::string>
+      peers;  // HTTP addresses of entries known from the start
+  std::string admin_token;
+  size_t max_body_bytes = 2 << 20;
+  size_t max_connections = 512;
+  size_t traffic_threads = 2;
+};
+
+// What a peer says of itself, and what it knows.
+struct peer_row {
+  std::string http_address;
+  std::string link_address;
+  micros last_heard{0};
+};
+
+class entry_app {
+ public:
+  explicit entry_app(entry_settings settings);
+  ~entry_app();
+
+  void Start();  // exits the process if an address can't be had
+  void Drain();  // any thread
+  void Run();    // until drained
+
+ private:
+  // Routes (entry_http.cc); on HTTP threads.
+  void OnRequest(http_request r);
+  void OnJob(const http_request& r);
+  bool OnView(const http_request& r);
+  bool OnConfig(const http_request& r);
+  bool OnInternal(const http_request& r);
+  bool IsAdmin(const http_request& r);
+  void Refuse(ticket_id ticket, const failure& f);
+  void ReplyJson(ticket_id ticket, int status, const nlohmann::json& body);
+  void ReplyReady(ticket_id ticket);
+
+  // Configuration and peers (entry_platform.cc).
+  void PutConfig(const http_request& r);
+  void PutConfigObject(ticket_id ticket, const config_document& document);
+  void CommitConfig(ticket_id ticket, const config_document& document);
+  void CompareAndSwap(ticket_id ticket,
+                      const config_document& document,
+                      const std::optional<table_row>& row);
+  void ResolveCommit(ticket_id ticket, const config_document& document);
+  void AcceptConfig(ticket_id ticket, const config_document& document);
+  void ConfigConflict(ticket_id ticket,
+                      uint64_t version,
+                      const std::string& author);
+  void AdoptDocument(const config_document& document);
+  void PollConfig();
+  void FetchConfig(const std::string& row_value);
+  void RefreshDirectory();
+  void GreetPeers();
+  void GreetPeer(const std::string& http_address);
+  void TakePeerAnswer(const std::string& http_address, const http_reply& reply);
+  void LearnPeer(const std::string& http_address,
+                 const std::string& link_address);
+  void ForgetSilentPeers();
+  void PublishPeers();
+  nlohmann::json Greeting(config_version known);
+  void Background();        // every second, on the background thread
+  void FinishFirstRound();  // when every source of configuration has answered
+                            // or failed
+
+  bool MayStop();
+
+  // Actions (entry_app.cc); on the outgoing thread.
+  void Act(entry_action& action);
+  void ActClaim(claim_action& action);
+  void Ask(const ask_owner& ask);
+  void Answer(const answer_complete& answer);
+  void Answer(const answer_failed& answer);
+
+  entry_settings settings_;
+  entry_state state_;  // control thread only
+  control_loop<entry_event> loop_;
+  control_loop<entry_action> outgoing_;
+  http_client http_client_;
+  platform_client platform_;
+  std::unique_ptr<link_server> links_;
+  std::unique_ptr<http_server> http_;
+  std::thread outgoing_thread_;
+  std::thread background_;
+  std::atomic<bool> stopped_{false};
+  std::atomic<bool> draining_{false};
+  bool drained_ = false;  // control thread only
+  micros drained_at_{0};
+
+  std::mutex mutex_;                       // guards what follows
+  config_document document_;               // newest known to any thread
+  std::map<std::string, peer_row> peers_;  // by HTTP address
+  int first_round_open_ = 1;               // sources not yet heard at the start
+  bool first_round_done_ = false;
+  std::atomic<bool> ready_{
+      false};  // has a configuration, first round done, not draining
+};
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_SRC_APPS_ENTRY_APP_H_
--- /dev/null
+++ b/src/apps/entry_main.cc
@@ -0,0 +1,90 @@
+// cassiaferry-entry: takes jobs over HTTP, places their tasks, answers.
+
+#include <gflags/gflags.h>
+
+#include "app.h"
+#include "entry_app.h"
+
+DEFINE_string(settings, "", "settings file (JSON); see docs/OPERATIONS.md");
+DEFINE_string(
+    http,
+    "",
+    "ip:port to listen on for callers, instead of the settings' \"http\"");
+DEFINE_string(
+    link,
+    "",
+    "ip:port to listen on for sidecars, instead of the settings' \"link\"");
+
+namespace cassiaferry {
+namespace {
+
+const std::vector<field_rule> kRules = {
+    {"name", field_kind::text, 1, 128, true},
+    {"failure_domain", field_kind::text, 1, 128, true},
+    {"http", field_kind::text, 3, 64, true},
+    {"link", field_kind::text, 3, 64, true},
+    {"advertise_http", field_kind::text, 3, 64},
+    {"advertise_link", field_kind::text, 3, 64},
+    {"platform", field_kind::text, 3, 64},
+    {"peers", field_kind::array, 0, 1000},
+    {"admin_token", field_kind::text, 8, 256, true},
+    {"max_body_bytes", field_kind::integer, 1024, 64 << 20},
+    {"max_connections", field_kind::integer, 1, 100'000},
+    {"traffic_threads", field_kind::integer, 1, 64},
+};
+
+void CheckAddress(const nlohmann::json& value, const std::string& path) {
+  std::string ip;
+  uint16_t port = 0;
+  if (!value.is_string() || !SplitAddress(value, ip, port))
+    Die(kExitBadInput,
+        FLAGS_settings + ": " + path + ": must be of the form ip:port");
+}
+
+entry_settings ReadEntrySettings() {
+  nlohmann::json j = ReadSettings(FLAGS_settings, kRules);
+  if (!FLAGS_http.empty())
+    j["http"] = FLAGS_http;
+  if (!FLAGS_link.empty())
+    j["link"] = FLAGS_link;
+  for (const char* name :
+       {"http", "link", "advertise_http", "advertise_link", "platform"}) {
+    if (j.contains(name))
+      CheckAddress(j[name], std::string("/") + name);
+  }
+  entry_settings s;
+  s.name = j["name"];
+  s.failure_domain = j["failure_domain"];
+  s.http = j["http"];
+  s.link = j["link"];
+  s.advertise_http = j.value("advertise_http", "");
+  s.advertise_link = j.value("advertise_link", "");
+  s.platform = j.value("platform", "");
+  for (const nlohmann::json& peer : j.value("peers", nlohmann::json::array())) {
+    CheckAddress(peer, "/peers");
+    s.peers.push_back(peer);
+  }
+  s.admin_token = j["admin_token"];
+  s.max_body_bytes = j.value("max_body_bytes", s.max_body_bytes);
+  s.max_connections = j.value("max_connections", s.max_connections);
+  s.traffic_threads = j.value("traffic_threads", s.traffic_threads);
+  return s;
+}
+
+}  // namespace
+}  // namespace cassiaferry
+
+int main(int argc, char** argv) {
+  using namespace cassiaferry;
+  InitApp(
+      "cassiaferry-entry --settings FILE\nTakes jobs over HTTP and dispatches "
+      "their tasks.",
+      &argc, &argv);
+  entry_settings settings = ReadEntrySettings();
+  HandleSignals("entry: ");
+  entry_app app(std::move(settings));
+  app.Start();
+  OnStop([&app] { app.Drain(); });
+  app.Run();
+  return kExitOk;
+}
--- /dev/null
+++ b/src/apps/sidecar_main.cc
@@ -0,0 +1,323 @@
+// cassiaferry-sidecar: stands beside one upstream instance and is the only one
+// that starts tasks there.
+//
+// Contents
+//   [1] Settings
+//   [2] HTTP
+//   [3] Actions
+//   [4] Main
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "../net/control_loop.h"
+#include "../net/http_client.h"
+#include "../net/http_server.h"
+#include "../net/link_client.h"
+#include "app.h"
+#include "cassiaferry/sidecar.h"
+
+DEFINE_string(settings, "", "settings file (JSON); see docs/OPERATIONS.md");
+DEFINE_string(http,
+              "",
+              "ip:port to listen on, instead of the settings' \"http\"");
+
+namespace cassiaferry {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kPrefix[] = "sidecar: ";
+constexpr std::chrono::milliseconds kIdleTick{50};
+
+// ---- [1] Settings -----------------------------------------------------------
+
+const std::vector<field_rule> kRules = {
+    {"name", field_kind::text, 1, 128, true},
+    {"failure_domain", field_kind::text, 1, 128, true},
+    {"http", field_kind::text, 3, 64, true},
+    {"seeds", field_kind::array, 1, 1000, true},
+};
+
+const std::vector<field_rule> kAnnouncementRules = {
+    {"address", field_kind::text, 3, 64, true},
+    {"slots", field_kind::integer, 1, 10'000, true},
+    {"connections", field_kind::integer, 1, 100'000},
+    {"cores", field_kind::integer, 1, 100'000},
+    {"memory_mb", field_kind::integer, 1, 100'000'000},
+};
+
+sidecar_options ReadOptions(const json& settings) {
+  sidecar_options o;
+  o.name = settings["name"];
+  o.failure_domain = settings["failure_domain"];
+  o.self = incarnation{RandomSeed()};
+  o.seed = RandomSeed();
+  for (const json& seed : settings["seeds"]) {
+    std::string ip;
+    uint16_t port = 0;
+    if (!seed.is_string() || !SplitAddress(seed, ip, port))
+      Die(kExitBadInput,
+          FLAGS_settings + ": /seeds: each must be a text of the form ip:port");
+    o.seeds.push_back(seed);
+  }
+  return o;
+}
+
+class sidecar_app {
+ public:
+  explicit sidecar_app(const json& settings);
+
+  void Start(const json& settings);
+  void Run();
+  void Drain() { loop_.Post(drain_requested{}); }
+
+ private:
+  void OnRequest(const http_request& request);
+  void Announce(const http_request& request, const std::string& name);
+  void Reply(ticket_id ticket,
+             int status,
+             const std::string& body,
+             const char* type = "application/json");
+  void TellStatus(ticket_id ticket);
+  void TellMetrics(ticket_id ticket);
+
+  void Act(sidecar_action& action);
+  void RunTask(const run_task& run);
+  void StopTask(const stop_task& stop);
+
+  sidecar_state state_;
+  control_loop<sidecar_event> loop_;
+  http_client http_;
+  link_client links_;
+  std::unique_ptr<http_server> server_;
+  std::map<task_key, uint64_t> calls_;  // control thread only
+  bool drained_ = false;
+};
+
+sidecar_app::sidecar_app(const json& settings)
+    : state_(MakeSidecar(ReadOptions(settings))),
+      links_(
+          [this](entry_id link, entry_frame frame) {
+            loop_.Post(link_frame_received{link, std::move(frame)});
+          },
+          [this](entry_id link, link_epoch epoch) {
+            loop_.Post(link_lost{link, epoch});
+          }) {}
+
+void sidecar_app::Start(const json& settings) {
+  http_server_options options;
+  options.address =
+      FLAGS_http.empty() ? settings["http"].get<std::string>() : FLAGS_http;
+  options.threads = 1;
+  server_ = std::make_unique<http_server>(
+      options, [this](http_request r) { OnRequest(r); }, [](ticket_id) {});
+  std::string error;
+  const std::string address = server_->Start(error);
+  if (address.empty())
+    Die(kExitCantListen, kPrefix + error);
+  LOG(INFO) << kPrefix << "serving on " << address << " as "
+            << state_.options.name;
+  PrintReady({{"http", address}, {"pid", getpid()}});
+}
+
+// ---- [2] HTTP ---------------------------------------------------------------
+
+void sidecar_app::Reply(ticket_id ticket,
+                        int status,
+                        const std::string& body,
+                        const char* type) {
+  http_response response;
+  response.status = status;
+  response.body = body;
+  response.content_type = type;
+  server_->Answer(ticket, response);
+}
+
+std::string ErrorBody(const std::string& message) {
+  return json{{"message", message}}.dump();
+}
+
+void sidecar_app::Announce(const http_request& request,
+                           const std::string& name) {
+  json body;
+  std::string error;
+  if (!ParseJson(request.body, body, error)) {
+    Reply(request.ticket, 400, ErrorBody("not JSON: " + error));
+    return;
+  }
+  std::vector<config_error> errors;
+  CheckObject(body, kAnnouncementRules, "", errors);
+  if (!errors.empty()) {
+    Reply(request.ticket, 400,
+          ErrorBody(errors.front().path + ": " + errors.front().message));
+    return;
+  }
+  upstream_info info;
+  info.name = name;
+  info.address = body["address"];
+  info.slots = body["slots"];
+  info.connections = body.value("connections", 60u);
+  info.cores = body.value("cores", 1u);
+  info.memory_mb = body.value("memory_mb", 1024u);
+  std::string ip;
+  uint16_t port = 0;
+  if (!SplitAddress(info.address, ip, port)) {
+    Reply(request.ticket, 400,
+          ErrorBody("/address: must be of the form ip:port"));
+    return;
+  }
+  loop_.Post(upstream_announced{std::move(info)});
+  Reply(request.ticket, 200, "{}");
+}
+
+void sidecar_app::TellStatus(ticket_id ticket) {
+  loop_.Call([this, ticket] {
+    json entries = json::array();
+    for (const entry_link& link : state_.links)
+      entries.push_back({{"address", link.address},
+                         {"up", link.state == link_state::up},
+                         {"epoch", link.epoch.value}});
+    const json status = {
+        {"name", state_.options.name},
+        {"incarnation", ToHex(state_.options.self.value)},
+        {"upstream", state_.upstream.name},
+        {"upstream_ready", state_.state == upstream_state::ready},
+        {"draining", state_.draining},
+        {"slots", state_.upstream.slots},
+        {"running", state_.running.size()},
+        {"free_slots", FreeSlots(state_)},
+        {"queued", state_.queue.size()},
+        {"config_version", state_.config.version.value},
+        {"entries", std::move(entries)}};
+    Reply(ticket, 200, status.dump());
+  });
+}
+
+void sidecar_app::TellMetrics(ticket_id ticket) {
+  loop_.Call([this, ticket] {
+    state_.metrics.bytes_sent = links_.BytesSent();
+    Reply(ticket, 200, PrometheusText(state_.metrics, {}),
+          "text/plain; version=0.0.4");
+  });
+}
+
+void sidecar_app::OnRequest(const http_request& r) {
+  constexpr std::string_view kUpstreams = "/v1/upstreams/";
+  const bool is_upstream =
+      r.path.starts_with(kUpstreams) && r.path.size() > kUpstreams.size();
+  if (is_upstream && r.method == "PUT") {
+    Announce(r, r.path.substr(kUpstreams.size()));
+  } else if (is_upstream && r.method == "DELETE") {
+    loop_.Post(upstream_left{});
+    Reply(r.ticket, 200, "{}");
+  } else if (r.method == "GET" &&
+             (r.path == "/healthz" || r.path == "/readyz")) {
+    Reply(r.ticket, 200, "{}");
+  } else if (r.method == "GET" && r.path == "/v1/status") {
+    TellStatus(r.ticket);
+  } else if (r.method == "GET" && r.path == "/metrics") {
+    TellMetrics(r.ticket);
+  } else {
+    Reply(r.ticket, 404, ErrorBody("no such path here"));
+  }
+}
+
+// ---- [3] Actions ------------------------------------------------------------
+
+// What an exchange with the upstream proves of its task.
+task_finished ReadOutcome(const run_task& run, http_reply reply) {
+  task_finished f{run.entry, run.task, verdict::ran, false,
+                  std::move(reply.body)};
+  if (!reply.sent) {
+    f.what = verdict::not_run;
+    f.output = reply.error;
+  } else if (!reply.answered) {
+    f.what = verdict::may_have_run;
+    f.output = "the exchange with the upstream broke: " + reply.error;
+  } else if (reply.status == 503 && reply.not_run) {
+    f.what = verdict::not_run;
+  } else {
+    f.ok = reply.status == 200;
+  }
+  return f;
+}
+
+void sidecar_app::RunTask(const run_task& run) {
+  const job_id job{run.entry, run.task.job};
+  http_call call;
+  call.method = "POST";
+  call.url = "http://" + run.address + "/tasks";
+  call.headers = {
+      "Cassiaferry-Task: " + ToText(job) + "/" + std::to_string(run.task.index),
+      "Content-Type: application/octet-stream"};
+  call.body = run.payload;
+  call.fresh_connection = true;
+  const task_key key{run.entry, run.task};
+  calls_[key] = http_.Start(std::move(call), [this, run](http_reply reply) {
+    loop_.Post(ReadOutcome(run, std::move(reply)));
+  });
+}
+
+void sidecar_app::StopTask(const stop_task& stop) {
+  const auto it = calls_.find({stop.entry, stop.task});
+  if (it == calls_.end())
+    return;
+  http_.Cancel(it->second);
+  calls_.erase(it);
+}
+
+void sidecar_app::Act(sidecar_action& action) {
+  if (auto* send = std::get_if<send_to_entry>(&action))
+    links_.Send(send->link, send->frame);
+  else if (auto* run = std::get_if<run_task>(&action))
+    RunTask(*run);
+  else if (auto* stop = std::get_if<stop_task>(&action))
+    StopTask(*stop);
+  else if (auto* dial = std::get_if<dial_entry>(&action))
+    links_.Dial(dial->link, dial->address, dial->epoch);
+  else if (auto* hang = std::get_if<hang_up>(&action))
+    links_.HangUp(hang->link, hang->epoch);
+  else
+    drained_ = true;
+}
+
+// ---- [4] Main ---------------------------------------------------------------
+
+void sidecar_app::Run() {
+  loop_.Run(kIdleTick, [this](std::vector<sidecar_event> events) {
+    for (const sidecar_event& event : events) {
+      if (const auto* done = std::get_if<task_finished>(&event))
+        calls_.erase({done->entry, done->task});
+    }
+    for (sidecar_action& action : Tick(state_, Now(), std::move(events)))
+      Act(action);
+    if (drained_)
+      loop_.Stop();
+  });
+  links_.Finish();
+  http_.Stop();
+  server_->Stop();
+  LOG(INFO) << kPrefix << "stopped, with nothing left";
+}
+
+}  // namespace
+}  // namespace cassiaferry
+
+int main(int argc, char** argv) {
+  using namespace cassiaferry;
+  InitApp(
+      "cassiaferry-sidecar --settings FILE\nStarts tasks on the one upstream "
+      "beside it.",
+      &argc, &argv);
+  const nlohmann::json settings = ReadSettings(FLAGS_settings, kRules);
+  HandleSignals(kPrefix);
+  sidecar_app app(settings);
+  app.Start(settings);
+  OnStop([&app] { app.Drain(); });
+  app.Run();
+  return kExitOk;
+}
--- /dev/null
+++ b/src/core/entry_links.cc
@@ -0,0 +1,376 @@
+// Streams to sidecars: greeting, reconciling, results, silence, frames.
+//
+// Contents
+//   [1] Workers by name and link
+//   [2] Losing tasks
+//   [3] Greeting
+//   [4] Reconciling
+//   [5] Results and rejects
+//   [6] Frames
+//   [7] Silence and loss
+//   [8] Sending
+
+#include <algorithm>
+
+#include "entry_systems.h"
+
+namespace cassiaferry {
+
+namespace {
+
+constexpr int64_t kBusyPauseMs =
+    100;  // a worker whose upstream refuses gets nothing for this long
+
+// ---- [1] Workers by name and link -------------------------------------------
+
+worker_id FindOrAddWorker(entry_state& s, const std::string& name) {
+  const auto known = s.worker_names.find(name);
+  if (known != s.worker_names.end())
+    return known->second;
+  const worker_id id{static_cast<uint32_t>(s.workers.size())};
+  worker_row row;
+  row.name = name;
+  s.workers.push_back(std::move(row));
+  s.worker_names.emplace(name, id);
+  return id;
+}
+
+void LearnUpstream(entry_state& s, worker_row& w, const upstream_info& info) {
+  w.upstream = info;
+  upstream_row& upstream = s.upstreams[info.name];
+  upstream.most_cores = std::max(upstream.most_cores, info.cores);
+  upstream.most_memory_mb = std::max(upstream.most_memory_mb, info.memory_mb);
+}
+
+// ---- [2] Losing tasks -------------------------------------------------------
+
+// The fate of these tasks can't be known any more: their jobs fail, saying that
+// they may have run.
+void LoseTasks(entry_state& s,
+               micros now,
+               worker_id id,
+               const std::vector<task_ref>& lost) {
+  for (const task_ref& task : lost) {
+    s.workers[id.value].unresolved.erase(task);
+    job_row* job = FindJob(s, task.job);
+    if (job == nullptr)
+      continue;
+    job->may_have_run = true;
+    FailJob(s, now, task.job, reason::worker_lost,
+            "a worker was lost with a task of the job unresolved", 0);
+  }
+}
+
+std::vector<task_ref> Unresolved(const worker_row& w) {
+  return {w.unresolved.begin(), w.unresolved.end()};
+}
+
+void ForgetProbes(entry_state& s, worker_id id) {
+  for (auto& [seq, job] : s.jobs) {
+    if (job.probes.erase(id) != 0 && !job.waiting.empty())
+      s.unplaced.insert(seq);
+  }
+}
+
+void DisconnectWorker(entry_state& s, micros now, worker_id id, bool close) {
+  worker_row& w = s.workers[id.value];
+  if (w.state == worker_link::down)
+    return;
+  if (close)
+    s.actions.push_back(close_link{w.link});
+  s.links.erase(w.link);
+  w.state = worker_link::down;
+  w.lost_since = now;
+  w.outbox = {};
+  w.must_send = false;
+  w.reserved = 0;
+  w.told = kNoBacklog;
+  ForgetProbes(s, id);
+}
+
+// ---- [3] Greeting -----------------------------------------------------------
+
+// A sidecar that restarted under its old name has forgotten every task.
+void ReplaceSidecar(entry_state& s,
+                    micros now,
+                    worker_id id,
+                    incarnation sidecar) {
+  worker_row& w = s.workers[id.value];
+  if (w.sidecar == sidecar)
+    return;
+  const std::vector<task_ref> lost = Unresolved(w);
+  w.sidecar = sidecar;
+  w.memory = 0;
+  w.acked_through = 0;
+  w.epoch = {};
+  w.health = {};
+  LoseTasks(s, now, id, lost);
+}
+
+entry_frame MakeGreeting(const entry_state& s, const worker_row& w) {
+  entry_frame frame;
+  frame.epoch = w.epoch;
+  frame.hello =
+      entry_hello{s.options.self, s.options.link_address, Unresolved(w)};
+  frame.peers = s.peers;
+  frame.version = s.document.version;
+  return frame;
+}
+
+void Greet(entry_state& s,
+           micros now,
+           link_id link,
+           const sidecar_frame& frame) {
+  const worker_id id = FindOrAddWorker(s, frame.hello->name);
+  worker_row& w = s.workers[id.value];
+  if (w.sidecar == frame.hello->sidecar && frame.epoch < w.epoch) {
+    s.actions.push_back(close_link{link});
+    return;
+  }
+  DisconnectWorker(s, now, id, true);
+  ReplaceSidecar(s, now, id, frame.hello->sidecar);
+  w.failure_domain = frame.hello->failure_domain;
+  w.state = worker_link::greeting;
+  w.link = link;
+  w.epoch = frame.epoch;
+  w.version = frame.hello->version;
+  w.version_sent = {};
+  w.last_heard = now;
+  w.last_sent = now;
+  w.starts_sent = 0;
+  w.load = {};
+  w.outbox = {};
+  s.links[link] = id;
+  s.actions.push_back(send_to_sidecar{link, MakeGreeting(s, w)});
+}
+
+// ---- [4] Reconciling --------------------------------------------------------
+
+// The sidecar's memory of this entry has gone, or parts of it. "Never started"
+// is then no proof, and becomes "may have run".
+bool HasForgotten(const worker_row& w, const reconcile_reply& reply) {
+  return w.memory != 0 && w.memory != reply.memory;
+}
+
+void TakeReconcile(entry_state& s,
+                   micros now,
+                   worker_id id,
+                   const reconcile_reply& reply) {
+  worker_row& w = s.workers[id.value];
+  const bool forgotten = HasForgotten(w, reply);
+  if (forgotten)
+    w.acked_through = 0;
+  w.memory = reply.memory;
+  w.state = worker_link::up;
+  w.lost_since = micros{0};
+  s.metrics.Sent(record_kind::reconcile, reply.tasks.size());
+  std::vector<task_ref> lost;
+  for (const reconcile_record& r : reply.tasks) {
+    if (r.fate != task_fate::never_started ||
+        s.workers[id.value].unresolved.count(r.task) == 0)
+      continue;
+    if (forgotten) {
+      lost.push_back(r.task);
+      continue;
+    }
+    s.workers[id.value].unresolved.erase(r.task);
+    ReturnTask(s, r.task, retry_reason::never_started);
+  }
+  LoseTasks(s, now, id, lost);
+}
+
+// ---- [5] Results and rejects ------------------------------------------------
+
+void FailTask(entry_state& s,
+              micros now,
+              job_row& job,
+              reason why,
+              const std::string& message) {
+  job.may_have_run = true;
+  FailJob(s, now, job.id.seq, why, message, 0);
+}
+
+std::string TaskText(const result_record& result) {
+  constexpr size_t kMaxQuoted = 200;
+  return "task " + std::to_string(result.task.index) +
+         " failed: " + result.output.substr(0, kMaxQuoted);
+}
+
+// Failure guarded against: an upstream that refuses everything at once would be
+// asked again a thousand times a second. It gets a pause, and others the task.
+void RefusedByUpstream(entry_state& s,
+                       micros now,
+                       worker_row& w,
+                       const task_ref& task) {
+  w.health.ejected_until =
+      std::max(w.health.ejected_until, now + Millis(kBusyPauseMs));
+  ReturnTask(s, task, retry_reason::upstream_busy);
+}
+
+void TakeResult(entry_state& s,
+                micros now,
+                worker_id id,
+                const result_record& result) {
+  worker_row& w = s.workers[id.value];
+  if (result.number <= w.acked_through)
+    return;
+  w.acked_through = result.number;
+  job_row* job = FindJob(s, result.task.job);
+  if (w.unresolved.erase(result.task) == 0 || job == nullptr) {
+    s.metrics.Retried(retry_reason::late_result);
+    return;
+  }
+  if (result.what == verdict::not_run) {
+    RefusedByUpstream(s, now, w, result.task);
+    return;
+  }
+  NoteResult(s, now, w, *job, result);
+  if (result.what == verdict::may_have_run)
+    FailTask(s, now, *job, reason::worker_lost, TaskText(result));
+  else if (!result.ok)
+    FailTask(s, now, *job, reason::task_failed, TaskText(result));
+  else
+    FinishTask(s, now, id, result);
+}
+
+void TakeReject(entry_state& s, worker_id id, const reject_record& reject) {
+  if (s.workers[id.value].unresolved.erase(reject.task) == 0)
+    return;
+  ReturnTask(s, reject.task,
+             reject.timed_out ? retry_reason::queue_timeout
+                              : retry_reason::slot_taken);
+}
+
+// ---- [6] Frames -------------------------------------------------------------
+
+void AdoptConfig(entry_state& s, const config_document& document) {
+  if (document.version <= s.document.version)
+    return;
+  nlohmann::json parsed;
+  std::string error;
+  if (!ParseJson(document.json, parsed, error) ||
+      !CheckConfig(parsed, check_scope::whole).empty())
+    return;
+  s.document = document;
+  s.config = ReadConfig(parsed);
+  s.actions.push_back(config_adopted{document});
+}
+
+void TakeBody(entry_state& s,
+              micros now,
+              worker_id id,
+              const sidecar_frame& frame) {
+  if (frame.upstream)
+    LearnUpstream(s, s.workers[id.value], *frame.upstream);
+  s.workers[id.value].load = frame.load;
+  if (frame.reconcile)
+    TakeReconcile(s, now, id, *frame.reconcile);
+  for (const result_record& result : frame.results)
+    TakeResult(s, now, id, result);
+  for (const reject_record& reject : frame.rejects)
+    TakeReject(s, id, reject);
+  AnswerOffers(s, now, id, frame);
+}
+
+}  // namespace
+
+void TakeSidecarFrame(entry_state& s,
+                      micros now,
+                      sidecar_frame_received event) {
+  const sidecar_frame& frame = event.frame;
+  if (frame.hello)
+    Greet(s, now, event.link, frame);
+  const auto link = s.links.find(event.link);
+  if (link == s.links.end() ||
+      s.workers[link->second.value].epoch != frame.epoch) {
+    s.metrics.Retried(retry_reason::fenced_frame);
+    return;
+  }
+  const worker_id id = link->second;
+  worker_row& w = s.workers[id.value];
+  w.last_heard = now;
+  w.version = std::max(w.version, frame.version);
+  if (frame.config)
+    AdoptConfig(s, *frame.config);
+  if (!frame.hello)
+    TakeBody(s, now, id, frame);
+  if (frame.goodbye)
+    DisconnectWorker(s, now, id, true);
+}
+
+// ---- [7] Silence and loss ---------------------------------------------------
+
+void LoseLink(entry_state& s, micros now, link_id link) {
+  const auto it = s.links.find(link);
+  if (it != s.links.end())
+    DisconnectWorker(s, now, it->second, false);
+}
+
+// Failure guarded against: a stream that is open but silent, and a sidecar that
+// never comes back. The first shows as no heartbeat and is closed: the sidecar
+// dials anew. The second shows as a loss that outlasts the grace: its tasks'
+// jobs fail at once, saying that they may have run.
+void CheckWorkers(entry_state& s, micros now) {
+  for (size_t i = 0; i < s.workers.size(); ++i) {
+    const worker_id id{static_cast<uint32_t>(i)};
+    worker_row& w = s.workers[i];
+    if (w.state != worker_link::down && now - w.last_heard > s.options.silence)
+      DisconnectWorker(s, now, id, true);
+    if (w.state == worker_link::down && !w.unresolved.empty() &&
+        now - w.lost_since > s.options.lost_grace)
+      LoseTasks(s, now, id, Unresolved(w));
+    if (w.state == worker_link::up && !w.must_send &&
+        now - w.last_sent >= s.options.heartbeat) {
+      w.must_send = true;
+      s.metrics.Sent(record_kind::heartbeat);
+    }
+  }
+}
+
+// ---- [8] Sending ------------------------------------------------------------
+
+namespace {
+
+void CarryConfig(entry_state& s, worker_row& w, entry_frame& frame) {
+  frame.version = s.document.version;
+  if (w.version >= s.document.version || w.version_sent >= s.document.version)
+    return;
+  frame.config = s.document;
+  w.version_sent = s.document.version;
+}
+
+// The backlog rides on every frame that is sent anyway, and costs no record
+// then.
+void CarryBacklog(const entry_state& s,
+                  micros now,
+                  worker_row& w,
+                  entry_frame& frame) {
+  if (frame.backlog)
+    return;
+  const order_key head = Backlog(s, w.upstream.name);
+  w.told = head;
+  frame.backlog =
+      head == kNoBacklog ? kNoBacklog : order_key{head.value - now.value};
+}
+
+}  // namespace
+
+void FlushWorkers(entry_state& s, micros now) {
+  for (worker_row& w : s.workers) {
+    const bool config_due =
+        w.version < s.document.version && w.version_sent < s.document.version;
+    if (w.state != worker_link::up || (!w.must_send && !config_due))
+      continue;
+    entry_frame frame = std::move(w.outbox);
+    w.outbox = {};
+    w.must_send = false;
+    frame.epoch = w.epoch;
+    frame.acked_through = w.acked_through;
+    CarryConfig(s, w, frame);
+    CarryBacklog(s, now, w, frame);
+    w.last_sent = now;
+    s.actions.push_back(send_to_sidecar{w.link, std::move(frame)});
+  }
+}
+
+}  // namespace cassiaferry
--- /dev/null
+++ b/src/core/entry_systems.h
@@ -0,0 +1,79 @@
+// The entry's systems, as its own files call them. Private to src/core.
+//
+// Contents
+//   [1] Jobs
+//   [2] Dispatch
+//   [3] Links
+//   [4] Health
+
+#ifndef CASSIAFERRY_SRC_CORE_ENTRY_SYSTEMS_H_
+#define CASSIAFERRY_SRC_CORE_ENTRY_SYSTEMS_H_
+
+#include <string>
+
+#include "cassiaferry/entry.h"
+
+namespace cassiaferry {
+
+// ---- [1] Jobs (entry_jobs.cc) -----------------------------------------------
+
+void SubmitJob(entry_state& s, micros now, job_submitted event);
+void RefuseInvalid(entry_state& s, micros now, job_invalid event);
+void DropCaller(entry_state& s, micros now, ticket_id ticket);
+void FailJob(entry_state& s,
+             micros now,
+             job_seq seq,
+             reason why,
+             const std::string& message,
+             int64_t retry_after_ms);
+void FinishTask(entry_state& s,
+                micros now,
+                worker_id worker,
+                const result_record& result);  // ran, answered 200
+void CheckDeadlines(entry_state& s, micros now);
+void DecideClaims(entry_state& s,
+                  micros now);  // acts on decisions of the claims
+void ReturnTask(entry_state& s,
+                const task_ref& task,
+                retry_reason why);  // provably not run: it waits again
+job_row* FindJob(entry_state& s, job_seq seq);
+
+// ---- [2] Dispatch (entry_dispatch.cc) ---------------------------------------
+
+void QueueJob(entry_state& s,
+              job_row& job);  // stands in the waiting table, if tasks wait
+void UnqueueJob(entry_state& s, job_row& job);
+void CancelProbes(entry_state& s, job_row& job);
+void Dispatch(entry_state& s, micros now);
+void AnswerOffers(entry_state& s,
+                  micros now,
+                  worker_id worker,
+                  const sidecar_frame& frame);
+void TellBacklogs(entry_state& s, micros now);
+order_key Backlog(
+    const entry_state& s,
+    const std::string& upstream);  // first waiting job; kNoBacklog: none
+
+// ---- [3] Links (entry_links.cc) ---------------------------------------------
+
+void TakeSidecarFrame(entry_state& s, micros now, sidecar_frame_received event);
+void LoseLink(entry_state& s, micros now, link_id link);
+void CheckWorkers(entry_state& s, micros now);
+void FlushWorkers(entry_state& s, micros now);
+
+// ---- [4] Health (entry_health.cc) -------------------------------------------
+
+void NoteResult(entry_state& s,
+                micros now,
+                worker_row& worker,
+                const job_row& job,
+                const result_record& result);
+bool TakesTasks(const worker_row& worker,
+                micros now);                   // linked, announced, not ejected
+uint32_t SlotLimit(const worker_row& worker);  // own tasks at once: fewer for a
+                                               // slow or unproven worker
+void MeasureDrain(entry_state& s, micros now);
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_SRC_CORE_ENTRY_SYSTEMS_H_
--- /dev/null
+++ b/src/core/metrics.cc
@@ -0,0 +1,124 @@
+// Metrics: accumulators and the text form for scrapers.
+
+#include "cassiaferry/metrics.h"
+
+#include <sstream>  // needed by, and missing in, the quantile header below
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <vector>
+
+namespace cassiaferry {
+
+namespace acc = boost::accumulators;
+
+namespace {
+
+const std::vector<double> kQuantiles = {0.5, 0.95, 0.99};
+
+using accumulator =
+    acc::accumulator_set<double,
+                         acc::stats<acc::tag::count,
+                                    acc::tag::mean,
+                                    acc::tag::extended_p_square_quantile>>;
+
+template <typename Enum, size_t N>
+void AppendCounters(std::string& out,
+                    const char* name,
+                    const char* label,
+                    const std::array<uint64_t, N>& values) {
+  out += std::string("# TYPE ") + name + " counter\n";
+  for (size_t i = 0; i < N; ++i) {
+    out += std::string(name) + "{" + label + "=\"" +
+           ToText(static_cast<Enum>(i)) + "\"} ";
+    out += std::to_string(values[i]) + "\n";
+  }
+}
+
+void AppendCounter(std::string& out, const char* name, uint64_t value) {
+  out += std::string("# TYPE ") + name + " counter\n" + name + " " +
+         std::to_string(value) + "\n";
+}
+
+void AppendSummary(std::string& out,
+                   const std::string& name,
+                   const std::string& policy,
+                   const distribution& d) {
+  for (double q : kQuantiles) {
+    out += name + "{policy=\"" + policy + "\",quantile=\"" +
+           std::to_string(q).substr(0, 4) + "\"} ";
+    out += std::to_string(d.Quantile(q)) + "\n";
+  }
+  out += name + "_count{policy=\"" + policy + "\"} " +
+         std::to_string(d.Count()) + "\n";
+  out += name + "_sum{policy=\"" + policy + "\"} " +
+         std::to_string(d.Mean() * static_cast<double>(d.Count())) + "\n";
+}
+
+}  // namespace
+
+struct distribution::impl {
+  accumulator values{acc::extended_p_square_probabilities = kQuantiles};
+};
+
+distribution::distribution() : impl_(std::make_unique<impl>()) {}
+distribution::~distribution() = default;
+distribution::distribution(distribution&&) noexcept = default;
+distribution& distribution::operator=(distribution&&) noexcept = default;
+
+void distribution::Add(double value) {
+  impl_->values(value);
+}
+
+uint64_t distribution::Count() const {
+  return acc::count(impl_->values);
+}
+
+double distribution::Mean() const {
+  return Count() == 0 ? 0 : acc::mean(impl_->values);
+}
+
+double distribution::Quantile(double q) const {
+  return Count() == 0
+             ? 0
+             : acc::quantile(impl_->values, acc::quantile_probability = q);
+}
+
+const char* ToText(retry_reason r) {
+  constexpr const char* kNames[] = {
+      "slot_taken",   "queue_timeout",   "upstream_busy", "never_started",
+      "fenced_frame", "duplicate_start", "late_result"};
+  return kNames[static_cast<size_t>(r)];
+}
+
+const char* ToText(record_kind kind) {
+  constexpr const char* kNames[] = {
+      "start", "result",  "reject",  "cancel",    "probe",    "probe_cancel",
+      "offer", "decline", "backlog", "heartbeat", "reconcile"};
+  return kNames[static_cast<size_t>(kind)];
+}
+
+std::string PrometheusText(const counters& c,
+                           const policy_metrics_table& policies) {
+  std::string out;
+  AppendCounters<reason>(out, "cassiaferry_refused_total", "reason", c.refused);
+  AppendCounters<retry_reason>(out, "cassiaferry_retried_total", "reason",
+                               c.retried);
+  AppendCounters<record_kind>(out, "cassiaferry_records_sent_total", "kind",
+                              c.records);
+  AppendCounter(out, "cassiaferry_jobs_received_total", c.jobs_received);
+  AppendCounter(out, "cassiaferry_jobs_complete_total", c.jobs_complete);
+  AppendCounter(out, "cassiaferry_jobs_failed_total", c.jobs_failed);
+  AppendCounter(out, "cassiaferry_bytes_sent_total", c.bytes_sent);
+  for (const auto& [name, p] : policies) {
+    AppendSummary(out, "cassiaferry_response_ms", name, p.response_ms);
+    AppendSummary(out, "cassiaferry_queue_ms", name, p.queue_ms);
+    AppendSummary(out, "cassiaferry_response_ratio", name, p.ratio);
+  }
+  return out;
+}
+
+}  // namespace cassiaferry
--- /dev/null
+++ b/src/core/sidecar.cc
@@ -0,0 +1,727 @@
+// The sidecar's systems, run in order by each tick.
+//
+// Contents
+//   [1] Slots
+//   [2] Results
+//   [3] Frames from entries
+//   [4] Upstream
+//   [5] Links
+//   [6] Serving slots
+//   [7] Tick
+
+#include "cassiaferry/sidecar.h"
+
+#include <algorithm>
+
+namespace cassiaferry {
+
+namespace {
+
+// ---- [1] Slots --------------------------------------------------------------
+
+uint32_t Capacity(const sidecar_state& s) {
+  return std::min(s.upstream.slots, s.upstream.connections);
+}
+
+size_t OfferedSlots(const sidecar_state& s) {
+  size_t offered = 0;
+  for (const auto& [id, entry] : s.entries)
+    offered += entry.offers.size();
+  return offered;
+}
+
+bool TakesWork(const sidecar_state& s) {
+  return s.state == upstream_state::ready && !s.draining;
+}
+
+entry_link* LinkOf(sidecar_state& s, const entry_memory& entry) {
+  return entry.linked ? &s.links[entry.link.value] : nullptr;
+}
+
+void StartTask(sidecar_state& s,
+               micros now,
+               const task_key& key,
+               std::string payload,
+               micros enqueued) {
+  running_task row;
+  row.started = now;
+  row.queue_ms = static_cast<uint32_t>(ToMillis(now - enqueued));
+  s.running.emplace(key, row);
+  s.actions.push_back(
+      run_task{key.entry, key.task, s.upstream.address, std::move(payload)});
+}
+
+// ---- [2] Results ------------------------------------------------------------
+
+// Outputs wait for an acknowledgement, but not without bound. Failure guarded
+// against: an entry that never acknowledges fills this process's memory. When
+// the bound is passed the oldest are dropped and the token changes, so that the
+// entry, should it come back asking, hears that something was forgotten and
+// says "may have run" instead of "not run".
+void BoundResults(sidecar_state& s, entry_memory& entry) {
+  while (entry.results_bytes > s.options.max_results_bytes &&
+         !entry.results.empty()) {
+    entry.results_bytes -= entry.results.front().output.size();
+    entry.results.pop_front();
+    entry.token = s.random();
+  }
+}
+
+void KeepResult(sidecar_state& s, entry_memory& entry, result_record result) {
+  result.number = entry.next_result++;
+  entry.results_bytes += result.output.size();
+  entry.results.push_back(result);
+  if (entry_link* link = LinkOf(s, entry)) {
+    link->outbox.results.push_back(std::move(result));
+    link->must_send = true;
+    s.metrics.Sent(record_kind::result);
+  }
+  BoundResults(s, entry);
+}
+
+void Acknowledge(entry_memory& entry, uint64_t through) {
+  while (!entry.results.empty() && entry.results.front().number <= through) {
+    entry.results_bytes -= entry.results.front().output.size();
+    entry.results.pop_front();
+  }
+}
+
+void Reject(sidecar_state& s,
+            incarnation entry_name,
+            const task_ref& task,
+            bool timed_out) {
+  const auto it = s.entries.find(entry_name);
+  if (it == s.entries.end())
+    return;
+  entry_link* link = LinkOf(s, it->second);
+  if (link == nullptr)
+    return;
+  link->outbox.rejects.push_back({task, timed_out});
+  link->must_send = true;
+  s.metrics.Sent(record_kind::reject);
+}
+
+void Finish(sidecar_state& s, micros now, task_finished event) {
+  const task_key key{event.entry, event.task};
+  const auto running = s.running.find(key);
+  if (running == s.running.end())
+    return;
+  const auto entry = s.entries.find(event.entry);
+  if (entry != s.entries.end()) {
+    result_record result;
+    result.task = event.task;
+    result.what = event.what;
+    result.ok = event.ok;
+    result.run_ms =
+        static_cast<uint32_t>(ToMillis(now - running->second.started));
+    result.queue_ms = running->second.queue_ms;
+    result.output = std::move(event.output);
+    KeepResult(s, entry->second, std::move(result));
+  }
+  s.running.erase(running);
+}
+
+// ---- [3] Frames from entries ------------------------------------------------
+
+bool IsResult(const entry_memory& entry, const task_ref& task) {
+  return std::any_of(entry.results.begin(), entry.results.end(),
+                     [&](const result_record& r) { return r.task == task; });
+}
+
+void Enqueue(sidecar_state& s, order_key order, queued_item item) {
+  s.queue.emplace(std::pair(order, s.next_queued++), std::move(item));
+}
+
+order_key Absolute(micros now, order_key relative) {
+  return relative == kNoBacklog ? kNoBacklog
+                                : order_key{now.value + relative.value};
+}
+
+void TakeStart(sidecar_state& s,
+               micros now,
+               incarnation entry_name,
+               entry_memory& entry,
+               start_record start) {
+  const task_key key{entry_name, start.task};
+  ++entry.starts_seen;
+  if (s.running.count(key) != 0 || IsResult(entry, start.task)) {
+    s.metrics.Retried(retry_reason::duplicate_start);
+    return;
+  }
+  // A start answers the oldest offer, if there is one; its slot is then free.
+  if (!entry.offers.empty())
+    entry.offers.pop_front();
+  if (TakesWork(s) && FreeSlots(s) > 0) {
+    StartTask(s, now, key, std::move(start.payload), now);
+    return;
+  }
+  if (!TakesWork(s) || !start.may_queue ||
+      s.queue.size() >= s.options.max_queued) {
+    Reject(s, entry_name, start.task, false);
+    return;
+  }
+  queued_item item;
+  item.key = key;
+  item.payload = std::move(start.payload);
+  item.enqueued = now;
+  item.expires = now + Millis(start.ttl_ms);
+  Enqueue(s, Absolute(now, start.order), std::move(item));
+}
+
+void TakeProbe(sidecar_state& s,
+               micros now,
+               incarnation entry_name,
+               const probe_record& probe) {
+  if (s.queue.size() >= s.options.max_queued)
+    return;
+  queued_item item;
+  item.key = {entry_name, {probe.job, 0}};
+  item.is_probe = true;
+  item.enqueued = now;
+  Enqueue(s, Absolute(now, probe.order), std::move(item));
+}
+
+void DropQueued(sidecar_state& s,
+                incarnation entry_name,
+                job_seq job,
+                bool probes_only) {
+  std::erase_if(s.queue, [&](const auto& row) {
+    const queued_item& item = row.second;
+    return item.key.entry == entry_name && item.key.task.job == job &&
+           (item.is_probe || !probes_only);
+  });
+}
+
+void StopRunning(sidecar_state& s, const task_key& key) {
+  s.running.erase(key);
+  s.actions.push_back(stop_task{key.entry, key.task});
+}
+
+void CancelJob(sidecar_state& s, incarnation entry_name, job_seq job) {
+  DropQueued(s, entry_name, job, false);
+  auto it = s.running.lower_bound({entry_name, {job, 0}});
+  while (it != s.running.end() && it->first.entry == entry_name &&
+         it->first.task.job == job) {
+    const task_key key = it->first;
+    ++it;
+    StopRunning(s, key);
+  }
+}
+
+// Whatever this entry had here and no longer asks for is given up: its cancel
+// may have been lost with the older stream.
+void StopUnwanted(sidecar_state& s,
+                  incarnation entry_name,
+                  const std::set<task_ref>& wanted) {
+  auto it = s.running.lower_bound({entry_name, {}});
+  while (it != s.running.end() && it->first.entry == entry_name) {
+    const task_key key = it->first;
+    ++it;
+    if (wanted.count(key.task) == 0)
+      StopRunning(s, key);
+  }
+}
+
+// Tells the fate of each task that the entry asks about. A task unknown here
+// was never started, and never will be: the fence is already up, so a start
+// still travelling on an older stream is dropped when it arrives.
+reconcile_reply Reconcile(sidecar_state& s,
+                          incarnation entry_name,
+                          entry_memory& entry,
+                          const entry_hello& hello) {
+  std::erase_if(s.queue, [&](const auto& row) {
+    return row.second.key.entry == entry_name;
+  });
+  StopUnwanted(s, entry_name,
+               {hello.unresolved.begin(), hello.unresolved.end()});
+  reconcile_reply reply;
+  reply.memory = entry.token;
+  for (const task_ref& task : hello.unresolved) {
+    task_fate fate = task_fate::never_started;
+    if (s.running.count({entry_name, task}) != 0)
+      fate = task_fate::running;
+    else if (IsResult(entry, task))
+      fate = task_fate::resolved;
+    reply.tasks.push_back({task, fate});
+  }
+  return reply;
+}
+
+entry_id LearnAddress(sidecar_state& s,
+                      const std::string& address,
+                      bool is_seed) {
+  for (size_t i = 0; i < s.links.size(); ++i) {
+    if (s.links[i].address == address)
+      return entry_id{static_cast<uint32_t>(i)};
+  }
+  entry_link link;
+  link.address = address;
+  link.is_seed = is_seed;
+  s.links.push_back(std::move(link));
+  return entry_id{static_cast<uint32_t>(s.links.size() - 1)};
+}
+
+void CloseLink(sidecar_state& s, micros now, entry_id id, bool tell_net) {
+  entry_link& link = s.links[id.value];
+  if (tell_net)
+    s.actions.push_back(hang_up{id, link.epoch});
+  const auto known = s.entries.find(link.entry);
+  if (link.state == link_state::up && known != s.entries.end()) {
+    entry_memory& entry = known->second;
+    if (entry.linked && entry.link == id && entry.fence == link.epoch) {
+      entry.linked = false;
+      entry.offers.clear();
+      entry.backlog = kNoBacklog;
+      // Queued tasks of a broken stream are not started: their entry may have
+      // given them up. It hears "never started" when it comes back.
+      std::erase_if(s.queue, [&](const auto& row) {
+        return row.second.key.entry == link.entry;
+      });
+    }
+  }
+  link.state = link_state::idle;
+  link.outbox = {};
+  link.must_send = false;
+  link.next_dial = now + s.options.redial;
+  if (link.first_failed.value == 0)
+    link.first_failed = now;
+}
+
+void TakeHello(sidecar_state& s,
+               micros now,
+               entry_id id,
+               const entry_hello& hello) {
+  if (hello.address != s.links[id.value].address) {
+    // Reached through a balancer: keep one stream per entry, to its own
+    // address.
+    LearnAddress(s, hello.address, false);
+    CloseLink(s, now, id, true);
+    s.links[id.value].next_dial = now + Millis(5000);
+    return;
+  }
+  entry_link& link = s.links[id.value];
+  entry_memory& entry = s.entries[hello.entry];
+  if (entry.token == 0)
+    entry.token = s.random() | 1;
+  if (link.epoch < entry.fence)
+    return;
+  entry.fence = link.epoch;
+  entry.link = id;
+  entry.linked = true;
+  entry.last_heard = now;
+  entry.offers.clear();
+  entry.backlog = kNoBacklog;
+  entry.starts_seen = 0;
+  link.entry = hello.entry;
+  link.state = link_state::up;
+  link.first_failed = micros{0};
+  link.outbox.reconcile = Reconcile(s, hello.entry, entry, hello);
+  link.must_send = true;
+  s.metrics.Sent(record_kind::reconcile, hello.unresolved.size());
+  for (const result_record& result : entry.results)
+    link.outbox.results.push_back(result);
+  s.metrics.Sent(record_kind::result, entry.results.size());
+}
+
+void TakeConfig(sidecar_state& s, const entry_frame& frame) {
+  if (frame.config && frame.config->version > s.config.version)
+    s.config = *frame.config;
+}
+
+void TakeDeclines(entry_memory& entry, uint32_t declines) {
+  for (; declines > 0 && !entry.offers.empty(); --declines)
+    entry.offers.pop_front();
+}
+
+void TakeRecords(sidecar_state& s,
+                 micros now,
+                 incarnation entry_name,
+                 entry_memory& entry,
+                 entry_frame& frame) {
+  Acknowledge(entry, frame.acked_through);
+  for (job_seq job : frame.cancels)
+    CancelJob(s, entry_name, job);
+  for (job_seq job : frame.probe_cancels)
+    DropQueued(s, entry_name, job, true);
+  for (start_record& start : frame.starts)
+    TakeStart(s, now, entry_name, entry, std::move(start));
+  for (const probe_record& probe : frame.probes)
+    TakeProbe(s, now, entry_name, probe);
+  TakeDeclines(entry, frame.declines);
+  if (frame.backlog)
+    entry.backlog = Absolute(now, *frame.backlog);
+}
+
+void TakeFrame(sidecar_state& s, micros now, link_frame_received event) {
+  entry_link& link = s.links[event.link.value];
+  entry_frame& frame = event.frame;
+  if (link.state == link_state::idle || frame.epoch != link.epoch) {
+    s.metrics.Retried(retry_reason::fenced_frame);
+    return;
+  }
+  link.last_heard = now;
+  TakeConfig(s, frame);
+  for (const std::string& address : frame.peers)
+    LearnAddress(s, address, false);
+  if (frame.hello)
+    TakeHello(s, now, event.link, *frame.hello);
+  entry_link& same_link =
+      s.links[event.link.value];  // learning may have moved the table
+  if (same_link.state != link_state::up)
+    return;
+  const incarnation entry_name = same_link.entry;
+  entry_memory& entry = s.entries[entry_name];
+  if (entry.fence != frame.epoch) {
+    s.metrics.Retried(retry_reason::fenced_frame);
+    return;
+  }
+  entry.last_heard = now;
+  TakeRecords(s, now, entry_name, entry, frame);
+  if (frame.goodbye) {
+    s.entries.erase(entry_name);
+    CloseLink(s, now, event.link, true);
+  }
+}
+
+// ---- [4] Upstream -----------------------------------------------------------
+
+void RejectQueuedTasks(sidecar_state& s) {
+  for (const auto& [order, item] : s.queue) {
+    if (!item.is_probe)
+      Reject(s, item.key.entry, item.key.task, false);
+  }
+  s.queue.clear();
+}
+
+void LeaveUpstream(sidecar_state& s) {
+  s.state = upstream_state::leaving;
+  RejectQueuedTasks(s);
+}
+
+void TakeAnnouncement(sidecar_state& s, micros now, const upstream_info& info) {
+  s.upstream = info;
+  s.last_announced = now;
+  s.state = upstream_state::ready;
+}
+
+// Failure guarded against: an upstream that dies without a goodbye. It shows as
+// missing announcements; new work stops at the third.
+void CheckUpstream(sidecar_state& s, micros now) {
+  if (s.state == upstream_state::ready &&
+      now - s.last_announced > s.options.announce_timeout)
+    LeaveUpstream(s);
+}
+
+void ExpireQueued(sidecar_state& s, micros now) {
+  std::erase_if(s.queue, [&](const auto& row) {
+    const queued_item& item = row.second;
+    if (item.is_probe || item.expires > now)
+      return false;
+    Reject(s, item.key.entry, item.key.task, true);
+    return true;
+  });
+}
+
+// ---- [5] Links --------------------------------------------------------------
+
+sidecar_hello MakeHello(const sidecar_state& s) {
+  return {s.options.self, s.options.name, s.options.failure_domain,
+          s.config.version};
+}
+
+void Dial(sidecar_state& s, micros now, entry_id id) {
+  entry_link& link = s.links[id.value];
+  link.epoch = link_epoch{s.next_epoch++};
+  link.state = link_state::dialing;
+  link.last_heard = now;
+  link.last_sent = now;
+  link.version_told = s.config.version;
+  link.upstream_told = {};
+  link.outbox = {};
+  s.actions.push_back(dial_entry{id, link.address, link.epoch});
+  sidecar_frame frame;
+  frame.epoch = link.epoch;
+  frame.hello = MakeHello(s);
+  frame.version = s.config.version;
+  s.actions.push_back(send_to_entry{id, std::move(frame)});
+}
+
+// Addresses that lead nowhere for long are dropped from the dial list, except
+// seeds: an entry that was replaced never comes back under its old address, and
+// dialling it for ever would cost a connection attempt each.
+bool IsGone(const entry_link& link, micros now) {
+  return !link.is_seed && link.first_failed.value != 0 &&
+         now - link.first_failed > Millis(60'000);
+}
+
+// Failure guarded against: an open connection that has gone silent for good
+// while new ones work. It shows as no frame, not even a heartbeat, for the
+// silence limit. The answer is a fresh connection with a higher epoch.
+void CheckLinks(sidecar_state& s, micros now) {
+  for (size_t i = 0; i < s.links.size(); ++i) {
+    const entry_id id{static_cast<uint32_t>(i)};
+    entry_link& link = s.links[i];
+    if (link.state != link_state::idle &&
+        now - link.last_heard > s.options.silence)
+      CloseLink(s, now, id, true);
+    if (link.state == link_state::idle && now >= link.next_dial &&
+        !IsGone(link, now))
+      Dial(s, now, id);
+    if (link.state == link_state::up &&
+        now - link.last_sent >= s.options.heartbeat && !link.must_send) {
+      link.must_send = true;
+      s.metrics.Sent(record_kind::heartbeat);
+    }
+  }
+}
+
+// Failure guarded against: an entry dies and a task of it hangs, so that its
+// slot is lost for good. It is stopped, and its result says that it may have
+// run, in case the entry was only paused and asks.
+void StopOrphans(sidecar_state& s, micros now) {
+  for (auto& [name, entry] : s.entries) {
+    if (entry.linked || now - entry.last_heard < s.options.orphan_timeout)
+      continue;
+    auto it = s.running.lower_bound({name, {}});
+    while (it != s.running.end() && it->first.entry == name) {
+      const task_key key = it->first;
+      ++it;
+      StopRunning(s, key);
+      result_record result;
+      result.task = key.task;
+      result.what = verdict::may_have_run;
+      result.output = "stopped: its entry was not heard of for too long";
+      KeepResult(s, entry, std::move(result));
+    }
+  }
+}
+
+void ForgetEntries(sidecar_state& s, micros now) {
+  std::erase_if(s.entries, [&](const auto& row) {
+    return !row.second.linked &&
+           now - row.second.last_heard > s.options.entry_memory;
+  });
+}
+
+bool SameUpstream(const upstream_info& a, const upstream_info& b) {
+  return a.name == b.name && a.address == b.address && a.slots == b.slots &&
+         a.connections == b.connections && a.cores == b.cores &&
+         a.memory_mb == b.memory_mb;
+}
+
+upstream_state ToldState(const sidecar_state& s) {
+  return s.draining ? upstream_state::leaving : s.state;
+}
+
+void Flush(sidecar_state& s, micros now) {
+  for (size_t i = 0; i < s.links.size(); ++i) {
+    entry_link& link = s.links[i];
+    if (link.state != link_state::up)
+      continue;
+    entry_memory& entry = s.entries[link.entry];
+    const bool state_changed = link.state_told != ToldState(s);
+    const bool upstream_changed = !SameUpstream(link.upstream_told, s.upstream);
+    if (!link.must_send && !state_changed && !upstream_changed)
+      continue;
+    sidecar_frame frame = std::move(link.outbox);
+    link.outbox = {};
+    link.must_send = false;
+    if (upstream_changed)
+      frame.upstream = s.upstream;
+    link.upstream_told = s.upstream;
+    link.state_told = ToldState(s);
+    frame.epoch = link.epoch;
+    frame.version = s.config.version;
+    frame.load.state = ToldState(s);
+    frame.load.free_slots = TakesWork(s) ? FreeSlots(s) : 0;
+    frame.load.queued = static_cast<uint32_t>(s.queue.size());
+    frame.load.starts_seen = entry.starts_seen;
+    link.last_sent = now;
+    s.actions.push_back(
+        send_to_entry{entry_id{static_cast<uint32_t>(i)}, std::move(frame)});
+  }
+}
+
+// An entry that knows an older configuration than this sidecar gets it here.
+// That is how an entry started during a platform outage becomes ready.
+void RelayConfig(sidecar_state& s, entry_id id, config_version known) {
+  entry_link& link = s.links[id.value];
+  if (link.state != link_state::up || known >= s.config.version ||
+      link.outbox.config)
+    return;
+  link.outbox.config = s.config;
+  link.must_send = true;
+}
+
+// ---- [6] Serving slots ------------------------------------------------------
+
+void ExpireOffers(sidecar_state& s, micros now) {
+  for (auto& [name, entry] : s.entries) {
+    while (!entry.offers.empty() &&
+           now - entry.offers.front() > s.options.offer_timeout)
+      entry.offers.pop_front();
+  }
+}
+
+// The entry whose first waiting job is first of all; null: none has a backlog.
+entry_memory* FirstBacklog(sidecar_state& s) {
+  entry_memory* best = nullptr;
+  for (auto& [name, entry] : s.entries) {
+    if (!entry.linked || entry.backlog == kNoBacklog)
+      continue;
+    if (best == nullptr || entry.backlog < best->backlog)
+      best = &entry;
+  }
+  return best;
+}
+
+// Keeps a slot for the entry, to be used by a start or given back.
+void Hold(entry_memory& entry, micros now) {
+  entry.offers.push_back(now);
+}
+
+void Offer(sidecar_state& s, micros now, entry_memory& entry, job_seq job) {
+  entry_link* link = LinkOf(s, entry);
+  Hold(entry, now);
+  link->outbox.offers.push_back({job});
+  link->must_send = true;
+  s.metrics.Sent(record_kind::offer);
+}
+
+// A slot freed by a result goes back to the entry of that result without a
+// record of its own, if that entry has a backlog and no other has a job that is
+// before it by more than the margin.
+void GrantWithResults(sidecar_state& s, micros now) {
+  const entry_memory* best = FirstBacklog(s);
+  if (best == nullptr)
+    return;
+  const order_key first = best->backlog;
+  for (auto& [name, entry] : s.entries) {
+    entry_link* link = LinkOf(s, entry);
+    if (link == nullptr || entry.backlog == kNoBacklog)
+      continue;
+    if (entry.backlog.value > first.value + s.options.keep_slot_margin.value)
+      continue;
+    if (!s.queue.empty() && s.queue.begin()->first.first < entry.backlog)
+      continue;
+    const size_t freed =
+        link->outbox.reconcile ? 0 : link->outbox.results.size();
+    while (link->outbox.granted < freed && FreeSlots(s) > 0) {
+      Hold(entry, now);
+      ++link->outbox.granted;
+    }
+  }
+}
+
+void ServeQueueHead(sidecar_state& s, micros now) {
+  queued_item item = std::move(s.queue.begin()->second);
+  s.queue.erase(s.queue.begin());
+  if (!item.is_probe) {
+    StartTask(s, now, item.key, std::move(item.payload), item.enqueued);
+    return;
+  }
+  const auto entry = s.entries.find(item.key.entry);
+  if (entry != s.entries.end() && entry->second.linked)
+    Offer(s, now, entry->second, item.key.task.job);
+}
+
+void ServeSlots(sidecar_state& s, micros now) {
+  if (!TakesWork(s))
+    return;
+  GrantWithResults(s, now);
+  while (FreeSlots(s) > 0) {
+    entry_memory* best = FirstBacklog(s);
+    const bool has_queue = !s.queue.empty();
+    if (best == nullptr && !has_queue)
+      return;
+    if (has_queue &&
+        (best == nullptr || s.queue.begin()->first.first <= best->backlog)) {
+      ServeQueueHead(s, now);
+      continue;
+    }
+    Offer(s, now, *best, job_seq{0});
+  }
+}
+
+// ---- [7] Tick ---------------------------------------------------------------
+
+struct event_taker {
+  sidecar_state& s;
+  micros now;
+
+  void operator()(link_frame_received& e) {
+    if (e.link.value >= s.links.size())
+      return;
+    const config_version known = e.frame.version;
+    const entry_id link = e.link;
+    TakeFrame(s, now, std::move(e));
+    RelayConfig(s, link, known);
+  }
+  void operator()(link_lost& e) {
+    if (e.link.value < s.links.size() && s.links[e.link.value].epoch == e.epoch)
+      CloseLink(s, now, e.link, false);
+  }
+  void operator()(upstream_announced& e) { TakeAnnouncement(s, now, e.info); }
+  void operator()(upstream_left&) { LeaveUpstream(s); }
+  void operator()(task_finished& e) { Finish(s, now, std::move(e)); }
+  void operator()(drain_requested&) {
+    s.draining = true;
+    RejectQueuedTasks(s);
+  }
+};
+
+bool AllAcknowledged(const sidecar_state& s) {
+  return std::all_of(s.entries.begin(), s.entries.end(), [](const auto& row) {
+    return !row.second.linked || row.second.results.empty();
+  });
+}
+
+void CheckDrained(sidecar_state& s) {
+  if (!s.draining || !s.running.empty() || !AllAcknowledged(s))
+    return;
+  for (size_t i = 0; i < s.links.size(); ++i) {
+    entry_link& link = s.links[i];
+    if (link.state != link_state::up)
+      continue;
+    link.outbox.goodbye = true;
+    link.must_send = true;
+  }
+  s.actions.push_back(drained{});
+}
+
+}  // namespace
+
+uint32_t FreeSlots(const sidecar_state& s) {
+  const size_t used = s.running.size() + OfferedSlots(s);
+  const size_t capacity = Capacity(s);
+  return used >= capacity ? 0 : static_cast<uint32_t>(capacity - used);
+}
+
+sidecar_state MakeSidecar(sidecar_options options) {
+  sidecar_state s;
+  s.random.seed(options.seed);
+  for (const std::string& address : options.seeds)
+    LearnAddress(s, address, true);
+  s.options = std::move(options);
+  return s;
+}
+
+std::vector<sidecar_action> Tick(sidecar_state& s,
+                                 micros now,
+                                 std::vector<sidecar_event> events) {
+  s.actions.clear();
+  for (sidecar_event& event : events)
+    std::visit(event_taker{s, now}, event);
+  CheckUpstream(s, now);
+  ExpireQueued(s, now);
+  ExpireOffers(s, now);
+  CheckLinks(s, now);
+  StopOrphans(s, now);
+  ForgetEntries(s, now);
+  ServeSlots(s, now);
+  CheckDrained(s);
+  Flush(s, now);
+  return std::move(s.actions);
+}
+
+}  // namespace cassiaferry
--- /dev/null
+++ b/src/net/codec.cc
@@ -0,0 +1,267 @@
+// Frames to and from their wire form.
+//
+// Contents
+//   [1] Shared records
+//   [2] Entry frames
+//   [3] Sidecar frames
+
+#include "codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiaferry {
+
+namespace {
+
+// ---- [1] Shared records -----------------------------------------------------
+
+void Write(const task_ref& ref, wire::TaskRef* out) {
+  out->set_job(ref.job.value);
+  out->set_index(ref.index);
+}
+
+task_ref Read(const wire::TaskRef& ref) {
+  return {job_seq{ref.job()}, ref.index()};
+}
+
+void Write(const config_document& document, wire::ConfigDocument* out) {
+  out->set_version(document.version.value);
+  out->set_change_id(document.change_id);
+  out->set_author(document.author);
+  out->set_json(document.json);
+}
+
+config_document Read(const wire::ConfigDocument& document) {
+  return {config_version{document.version()}, document.change_id(),
+          document.author(), document.json()};
+}
+
+// An enum from a peer may hold a value that this build does not know.
+template <typename Enum>
+Enum Bounded(uint32_t value, Enum last) {
+  return static_cast<Enum>(std::min(value, static_cast<uint32_t>(last)));
+}
+
+// ---- [2] Entry frames -------------------------------------------------------
+
+void Write(const start_record& start, wire::Start* out) {
+  Write(start.task, out->mutable_task());
+  out->set_payload(start.payload);
+  out->set_order(start.order.value);
+  out->set_ttl_ms(start.ttl_ms);
+  out->set_may_queue(start.may_queue);
+}
+
+start_record Read(wire::Start&& start) {
+  start_record r;
+  r.task = Read(start.task());
+  r.payload = std::move(*start.mutable_payload());
+  r.order = order_key{start.order()};
+  r.ttl_ms = start.ttl_ms();
+  r.may_queue = start.may_queue();
+  return r;
+}
+
+void Write(const entry_hello& hello, wire::EntryHello* out) {
+  out->set_entry(hello.entry.value);
+  out->set_address(hello.address);
+  for (const task_ref& ref : hello.unresolved)
+    Write(ref, out->add_unresolved());
+}
+
+entry_hello Read(const wire::EntryHello& hello) {
+  entry_hello h;
+  h.entry = incarnation{hello.entry()};
+  h.address = hello.address();
+  for (const wire::TaskRef& ref : hello.unresolved())
+    h.unresolved.push_back(Read(ref));
+  return h;
+}
+
+}  // namespace
+
+wire::EntryFrame ToWire(const entry_frame& frame) {
+  wire::EntryFrame out;
+  out.set_epoch(frame.epoch.value);
+  if (frame.hello)
+    Write(*frame.hello, out.mutable_hello());
+  for (const start_record& start : frame.starts)
+    Write(start, out.add_starts());
+  for (job_seq job : frame.cancels)
+    out.add_cancels(job.value);
+  for (const probe_record& probe : frame.probes) {
+    wire::Probe* p = out.add_probes();
+    p->set_job(probe.job.value);
+    p->set_order(probe.order.value);
+  }
+  for (job_seq job : frame.probe_cancels)
+    out.add_probe_cancels(job.value);
+  if (frame.backlog)
+    out.set_backlog(frame.backlog->value);
+  out.set_backlog_is_record(frame.backlog_is_record);
+  out.set_declines(frame.declines);
+  out.set_acked_through(frame.acked_through);
+  out.set_goodbye(frame.goodbye);
+  for (const std::string& peer : frame.peers)
+    out.add_peers(peer);
+  out.set_version(frame.version.value);
+  if (frame.config)
+    Write(*frame.config, out.mutable_config());
+  return out;
+}
+
+entry_frame FromWire(wire::EntryFrame&& frame) {
+  entry_frame f;
+  f.epoch = link_epoch{frame.epoch()};
+  if (frame.has_hello())
+    f.hello = Read(frame.hello());
+  for (wire::Start& start : *frame.mutable_starts())
+    f.starts.push_back(Read(std::move(start)));
+  for (uint64_t job : frame.cancels())
+    f.cancels.push_back(job_seq{job});
+  for (const wire::Probe& probe : frame.probes())
+    f.probes.push_back({job_seq{probe.job()}, order_key{probe.order()}});
+  for (uint64_t job : frame.probe_cancels())
+    f.probe_cancels.push_back(job_seq{job});
+  if (frame.has_backlog())
+    f.backlog = order_key{frame.backlog()};
+  f.backlog_is_record = frame.backlog_is_record();
+  f.declines = frame.declines();
+  f.acked_through = frame.acked_through();
+  f.goodbye = frame.goodbye();
+  for (std::string& peer : *frame.mutable_peers())
+    f.peers.push_back(std::move(peer));
+  f.version = config_version{frame.version()};
+  if (frame.has_config())
+    f.config = Read(frame.config());
+  return f;
+}
+
+// ---- [3] Sidecar frames -----------------------------------------------------
+
+namespace {
+
+void Write(const upstream_info& info, wire::UpstreamInfo* out) {
+  out->set_name(info.name);
+  out->set_address(info.address);
+  out->set_slots(info.slots);
+  out->set_connections(info.connections);
+  out->set_cores(info.cores);
+  out->set_memory_mb(info.memory_mb);
+}
+
+upstream_info Read(const wire::UpstreamInfo& info) {
+  return {info.name(),        info.address(), info.slots(),
+          info.connections(), info.cores(),   info.memory_mb()};
+}
+
+void Write(const reconcile_reply& reply, wire::ReconcileReply* out) {
+  out->set_memory(reply.memory);
+  for (const reconcile_record& r : reply.tasks) {
+    wire::Reconciled* item = out->add_tasks();
+    Write(r.task, item->mutable_task());
+    item->set_fate(static_cast<uint32_t>(r.fate));
+  }
+}
+
+reconcile_reply Read(const wire::ReconcileReply& reply) {
+  reconcile_reply r;
+  r.memory = reply.memory();
+  for (const wire::Reconciled& item : reply.tasks())
+    r.tasks.push_back(
+        {Read(item.task()), Bounded(item.fate(), task_fate::resolved)});
+  return r;
+}
+
+void Write(const result_record& result, wire::Result* out) {
+  out->set_number(result.number);
+  Write(result.task, out->mutable_task());
+  out->set_what(static_cast<uint32_t>(result.what));
+  out->set_ok(result.ok);
+  out->set_run_ms(result.run_ms);
+  out->set_queue_ms(result.queue_ms);
+  out->set_output(result.output);
+}
+
+result_record Read(wire::Result&& result) {
+  result_record r;
+  r.number = result.number();
+  r.task = Read(result.task());
+  r.what = Bounded(result.what(), verdict::ran);
+  r.ok = result.ok();
+  r.run_ms = result.run_ms();
+  r.queue_ms = result.queue_ms();
+  r.output = std::move(*result.mutable_output());
+  return r;
+}
+
+}  // namespace
+
+wire::SidecarFrame ToWire(const sidecar_frame& frame) {
+  wire::SidecarFrame out;
+  out.set_epoch(frame.epoch.value);
+  if (frame.hello) {
+    wire::SidecarHello* hello = out.mutable_hello();
+    hello->set_sidecar(frame.hello->sidecar.value);
+    hello->set_name(frame.hello->name);
+    hello->set_failure_domain(frame.hello->failure_domain);
+    hello->set_version(frame.hello->version.value);
+  }
+  if (frame.upstream)
+    Write(*frame.upstream, out.mutable_upstream());
+  if (frame.reconcile)
+    Write(*frame.reconcile, out.mutable_reconcile());
+  for (const result_record& result : frame.results)
+    Write(result, out.add_results());
+  for (const reject_record& reject : frame.rejects) {
+    wire::Reject* r = out.add_rejects();
+    Write(reject.task, r->mutable_task());
+    r->set_timed_out(reject.timed_out);
+  }
+  for (const offer_record& offer : frame.offers)
+    out.add_offers(offer.job.value);
+  out.set_granted(frame.granted);
+  out.set_state(static_cast<uint32_t>(frame.load.state));
+  out.set_free_slots(frame.load.free_slots);
+  out.set_queued(frame.load.queued);
+  out.set_starts_seen(frame.load.starts_seen);
+  out.set_goodbye(frame.goodbye);
+  out.set_version(frame.version.value);
+  if (frame.config)
+    Write(*frame.config, out.mutable_config());
+  return out;
+}
+
+sidecar_frame FromWire(wire::SidecarFrame&& frame) {
+  sidecar_frame f;
+  f.epoch = link_epoch{frame.epoch()};
+  if (frame.has_hello()) {
+    const wire::SidecarHello& hello = frame.hello();
+    f.hello =
+        sidecar_hello{incarnation{hello.sidecar()}, hello.name(),
+                      hello.failure_domain(), config_version{hello.version()}};
+  }
+  if (frame.has_upstream())
+    f.upstream = Read(frame.upstream());
+  if (frame.has_reconcile())
+    f.reconcile = Read(frame.reconcile());
+  for (wire::Result& result : *frame.mutable_results())
+    f.results.push_back(Read(std::move(result)));
+  for (const wire::Reject& reject : frame.rejects())
+    f.rejects.push_back({Read(reject.task()), reject.timed_out()});
+  for (uint64_t job : frame.offers())
+    f.offers.push_back({job_seq{job}});
+  f.granted = frame.granted();
+  f.load.state = Bounded(frame.state(), upstream_state::leaving);
+  f.load.free_slots = frame.free_slots();
+  f.load.queued = frame.queued();
+  f.load.starts_seen = frame.starts_seen();
+  f.goodbye = frame.goodbye();
+  f.version = config_version{frame.version()};
+  if (frame.has_config())
+    f.config = Read(frame.config());
+  return f;
+}
+
+}  // namespace cassiaferry
--- /dev/null
+++ b/src/net/control_loop.h
@@ -0,0 +1,95 @@
+// One thread for control state: events queue up here and are handed to a tick
+// in batches. Other threads only post.
+
+#ifndef CASSIAFERRY_SRC_NET_CONTROL_LOOP_H_
+#define CASSIAFERRY_SRC_NET_CONTROL_LOOP_H_
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include "cassiaferry/ids.h"
+
+namespace cassiaferry {
+
+// Microseconds on the monotonic clock.
+inline micros Now() {
+  const auto since = std::chrono::steady_clock::now().time_since_epoch();
+  return micros{
+      std::chrono::duration_cast<std::chrono::microseconds>(since).count()};
+}
+
+// Milliseconds since the epoch. Only for expiry of kept rows, never for safety.
+inline int64_t WallMillis() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+template <typename Event>
+class control_loop {
+ public:
+  using call = std::function<void()>;
+
+  // Any thread. The event is part of the next tick.
+  void Post(Event event) {
+    {
+      const std::lock_guard lock(mutex_);
+      events_.push_back(std::move(event));
+    }
+    wake_.notify_one();
+  }
+
+  // Any thread. The call runs on the control thread, before the next tick.
+  void Call(call function) {
+    {
+      const std::lock_guard lock(mutex_);
+      calls_.push_back(std::move(function));
+    }
+    wake_.notify_one();
+  }
+
+  // Any thread. `Run` returns after the tick in progress.
+  void Stop() {
+    {
+      const std::lock_guard lock(mutex_);
+      stopped_ = true;
+    }
+    wake_.notify_one();
+  }
+
+  // Ticks when something is posted, and at least every `idle`.
+  template <typename TickFunction>
+  void Run(std::chrono::milliseconds idle, TickFunction tick) {
+    for (;;) {
+      std::vector<Event> events;
+      std::vector<call> calls;
+      {
+        std::unique_lock lock(mutex_);
+        wake_.wait_for(lock, idle, [&] {
+          return stopped_ || !events_.empty() || !calls_.empty();
+        });
+        if (stopped_)
+          return;
+        events.swap(events_);
+        calls.swap(calls_);
+      }
+      for (call& function : calls)
+        function();
+      tick(std::move(events));
+    }
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::vector<Event> events_;
+  std::vector<call> calls_;
+  bool stopped_ = false;
+};
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_SRC_NET_CONTROL_LOOP_H_
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,246 @@
+// libcurl's multi interface driven by one thread.
+
+#include "http_client.h"
+
+#include <curl/curl.h>
+
+#include <strings.h>
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace cassiaferry {
+
+namespace {
+
+constexpr int kPollMs = 1000;
+constexpr long kKeptConnections = 256;
+constexpr size_t kSpareHandles = 256;
+constexpr char kNotRunHeader[] = "cassiaferry-not-run: 1";
+
+struct transfer {
+  uint64_t id = 0;
+  http_call call;
+  http_client::reply_callback on_reply;
+  http_reply reply;
+  CURL* handle = nullptr;
+  curl_slist* headers = nullptr;
+};
+
+size_t TakeBody(char* data, size_t size, size_t count, void* context) {
+  static_cast<transfer*>(context)->reply.body.append(data, size * count);
+  return size * count;
+}
+
+size_t TakeHeader(char* data, size_t size, size_t count, void* context) {
+  const size_t length = size * count;
+  constexpr size_t kPrefix = sizeof(kNotRunHeader) - 1;
+  if (length >= kPrefix && strncasecmp(data, kNotRunHeader, kPrefix) == 0)
+    static_cast<transfer*>(context)->reply.not_run = true;
+  return length;
+}
+
+void Configure(transfer& t) {
+  CURL* h = t.handle;
+  for (const std::string& header : t.call.headers)
+    t.headers = curl_slist_append(t.headers, header.c_str());
+  t.headers = curl_slist_append(t.headers, "Expect:");
+  curl_easy_setopt(h, CURLOPT_URL, t.call.url.c_str());
+  curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, t.call.method.c_str());
+  curl_easy_setopt(h, CURLOPT_HTTPHEADER, t.headers);
+  curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, TakeBody);
+  curl_easy_setopt(h, CURLOPT_WRITEDATA, &t);
+  curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, TakeHeader);
+  curl_easy_setopt(h, CURLOPT_HEADERDATA, &t);
+  curl_easy_setopt(h, CURLOPT_PRIVATE, &t);
+  curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(h, CURLOPT_PROXY, "");
+  curl_easy_setopt(h, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, static_cast<long>(t.call.timeout_ms));
+  curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(t.call.connect_timeout_ms));
+  if (t.call.method != "GET") {
+    curl_easy_setopt(h, CURLOPT_POSTFIELDS, t.call.body.data());
+    curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(t.call.body.size()));
+  }
+  if (t.call.fresh_connection) {
+    curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
+  }
+}
+
+// Nothing was sent if the transfer never came past connecting.
+bool WasSent(CURL* handle) {
+  curl_off_t pretransfer = 0;
+  curl_easy_getinfo(handle, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
+  return pretransfer > 0;
+}
+
+void ReadOutcome(transfer& t, CURLcode code) {
+  long status = 0;
+  curl_easy_getinfo(t.handle, CURLINFO_RESPONSE_CODE, &status);
+  t.reply.status = static_cast<int>(status);
+  t.reply.answered = code == CURLE_OK;
+  t.reply.sent = t.reply.answered || WasSent(t.handle);
+  if (!t.reply.answered)
+    t.reply.error = curl_easy_strerror(code);
+}
+
+}  // namespace
+
+struct http_client::impl {
+  void Loop();
+  void TakeRequests();
+  void Begin(std::unique_ptr<transfer> t);
+  void End(transfer& t, CURLcode code);
+  void Drop(uint64_t id);
+  void Release(transfer& t);
+  CURL* NewHandle();
+
+  CURLM* multi = nullptr;
+  std::thread thread;
+  std::atomic<bool> stopped{false};
+  std::atomic<uint64_t> next_id{1};
+  std::mutex mutex;
+  std::vector<std::unique_ptr<transfer>> starting;
+  std::vector<uint64_t> cancelling;
+  std::unordered_map<uint64_t, std::unique_ptr<transfer>>
+      open;                  // client thread only
+  std::vector<CURL*> spare;  // client thread only
+};
+
+CURL* http_client::impl::NewHandle() {
+  if (spare.empty())
+    return curl_easy_init();
+  CURL* handle = spare.back();
+  spare.pop_back();
+  return handle;
+}
+
+void http_client::impl::Release(transfer& t) {
+  curl_multi_remove_handle(multi, t.handle);
+  curl_slist_free_all(t.headers);
+  curl_easy_reset(t.handle);
+  if (spare.size() < kSpareHandles)
+    spare.push_back(t.handle);
+  else
+    curl_easy_cleanup(t.handle);
+}
+
+void http_client::impl::Begin(std::unique_ptr<transfer> t) {
+  t->handle = NewHandle();
+  Configure(*t);
+  curl_multi_add_handle(multi, t->handle);
+  const uint64_t id = t->id;
+  open.emplace(id, std::move(t));
+}
+
+void http_client::impl::End(transfer& t, CURLcode code) {
+  ReadOutcome(t, code);
+  const auto it = open.find(t.id);
+  const std::unique_ptr<transfer> owned = std::move(it->second);
+  open.erase(it);
+  Release(*owned);
+  owned->on_reply(std::move(owned->reply));
+}
+
+void http_client::impl::Drop(uint64_t id) {
+  const auto it = open.find(id);
+  if (it == open.end())
+    return;
+  Release(*it->second);
+  open.erase(it);
+}
+
+void http_client::impl::TakeRequests() {
+  std::vector<std::unique_ptr<transfer>> begin;
+  std::vector<uint64_t> drop;
+  {
+    const std::lock_guard lock(mutex);
+    begin.swap(starting);
+    drop.swap(cancelling);
+  }
+  for (auto& t : begin)
+    Begin(std::move(t));
+  for (uint64_t id : drop)
+    Drop(id);
+}
+
+void http_client::impl::Loop() {
+  while (!stopped) {
+    TakeRequests();
+    int running = 0;
+    curl_multi_perform(multi, &running);
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi, &left)) {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      transfer* t = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &t);
+      End(*t, message->data.result);
+    }
+    curl_multi_poll(multi, nullptr, 0, kPollMs, nullptr);
+  }
+}
+
+http_client::http_client() : impl_(std::make_unique<impl>()) {
+  static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(initialized);
+  impl_->multi = curl_multi_init();
+  curl_multi_setopt(impl_->multi, CURLMOPT_MAXCONNECTS, kKeptConnections);
+  impl_->thread = std::thread([this] { impl_->Loop(); });
+}
+
+http_client::~http_client() {
+  Stop();
+}
+
+uint64_t http_client::Start(http_call call, reply_callback on_reply) {
+  auto t = std::make_unique<transfer>();
+  t->id = impl_->next_id++;
+  t->call = std::move(call);
+  t->on_reply = std::move(on_reply);
+  const uint64_t id = t->id;
+  {
+    const std::lock_guard lock(impl_->mutex);
+    impl_->starting.push_back(std::move(t));
+  }
+  curl_multi_wakeup(impl_->multi);
+  return id;
+}
+
+void http_client::Cancel(uint64_t id) {
+  {
+    const std::lock_guard lock(impl_->mutex);
+    impl_->cancelling.push_back(id);
+  }
+  curl_multi_wakeup(impl_->multi);
+}
+
+void http_client::Stop() {
+  if (impl_->stopped.exchange(true))
+    return;
+  curl_multi_wakeup(impl_->multi);
+  impl_->thread.join();
+  for (auto& [id, t] : impl_->open)
+    impl_->Release(*t);
+  impl_->open.clear();
+  for (CURL* handle : impl_->spare)
+    curl_easy_cleanup(handle);
+  curl_multi_cleanup(impl_->multi);
+}
+
+http_reply FetchOnce(http_call call) {
+  std::promise<http_reply> promise;
+  http_client client;
+  client.Start(std::move(call),
+               [&](http_reply reply) { promise.set_value(std::move(reply)); });
+  return promise.get_future().get();
+}
+
+}  // namespace cassiaferry
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,59 @@
+// HTTP client (libcurl multi): many requests from one thread.
+
+#ifndef CASSIAFERRY_SRC_NET_HTTP_CLIENT_H_
+#define CASSIAFERRY_SRC_NET_HTTP_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cassiaferry {
+
+struct http_call {
+  std::string method = "GET";
+  std::string url;                   // "http://ip:port/path"
+  std::vector<std::string> headers;  // "Name: value"
+  std::string body;
+  int64_t timeout_ms = 0;  // whole call; 0: none
+  int64_t connect_timeout_ms = 1000;
+  // A request that must not be sent twice gets a connection of its own. Failure
+  // guarded against: when a kept connection closes before any answer, libcurl
+  // sends the request again on a new one, and a POST would run twice.
+  bool fresh_connection = false;
+};
+
+struct http_reply {
+  bool sent = false;      // false: proven that no byte of the request was sent
+  bool answered = false;  // a whole answer arrived
+  int status = 0;
+  bool not_run = false;  // the answer carries "Cassiaferry-Not-Run: 1"
+  std::string body;
+  std::string error;  // why not answered
+};
+
+class http_client {
+ public:
+  using reply_callback =
+      std::function<void(http_reply)>;  // on the client's thread
+
+  http_client();
+  ~http_client();  // open calls get no reply
+
+  uint64_t Start(http_call call,
+                 reply_callback on_reply);  // any thread; the id is for Cancel
+  void Cancel(uint64_t id);  // any thread; closes the connection, no reply
+  void Stop();               // ends the thread
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// One call, waited for. For command line tools.
+http_reply FetchOnce(http_call call);
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_SRC_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,258 @@
+// RESTinio behind a small interface; the only file that includes it.
+
+#include "http_server.h"
+
+#include <charconv>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <restinio/all.hpp>
+#include <unordered_map>
+
+namespace cassiaferry {
+
+namespace {
+
+constexpr size_t kMaxHeaders = 64;
+constexpr size_t kMaxHeaderName = 256;
+constexpr size_t kMaxHeaderValue = 8192;
+constexpr size_t kMaxUrl = 4096;
+constexpr std::chrono::minutes kHandleTimeout{
+    65};  // beyond any deadline that a job may have
+// Reading goes on while a request is handled, so that a closed connection
+// shows.
+constexpr size_t kPipelined = 2;
+
+using connection_key = uint64_t;
+
+// Requests under way, by ticket and by connection.
+class pending_table {
+ public:
+  void Add(ticket_id ticket, restinio::request_handle_t request) {
+    const std::lock_guard lock(mutex_);
+    by_connection_.emplace(request->connection_id(), ticket);
+    requests_.emplace(ticket, std::move(request));
+  }
+
+  restinio::request_handle_t Take(ticket_id ticket) {
+    const std::lock_guard lock(mutex_);
+    const auto it = requests_.find(ticket);
+    if (it == requests_.end())
+      return nullptr;
+    restinio::request_handle_t request = std::move(it->second);
+    requests_.erase(it);
+    const auto [first, last] =
+        by_connection_.equal_range(request->connection_id());
+    for (auto i = first; i != last; ++i) {
+      if (i->second == ticket) {
+        by_connection_.erase(i);
+        break;
+      }
+    }
+    return request;
+  }
+
+  std::vector<ticket_id> OfConnection(connection_key connection) const {
+    const std::lock_guard lock(mutex_);
+    std::vector<ticket_id> tickets;
+    const auto [first, last] = by_connection_.equal_range(connection);
+    for (auto i = first; i != last; ++i)
+      tickets.push_back(i->second);
+    return tickets;
+  }
+
+  size_t Size() const {
+    const std::lock_guard lock(mutex_);
+    return requests_.size();
+  }
+
+  void Clear() {
+    std::unordered_map<ticket_id, restinio::request_handle_t> requests;
+    const std::lock_guard lock(mutex_);
+    requests.swap(requests_);
+    by_connection_.clear();
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::unordered_map<ticket_id, restinio::request_handle_t> requests_;
+  std::multimap<connection_key, ticket_id> by_connection_;
+};
+
+struct state_listener {
+  std::function<void(connection_key)> on_closed;
+
+  void state_changed(
+      const restinio::connection_state::notice_t& notice) noexcept {
+    if (std::holds_alternative<restinio::connection_state::closed_t>(
+            notice.cause()))
+      on_closed(notice.connection_id());
+  }
+};
+
+struct server_traits : public restinio::default_traits_t {
+  using logger_t = restinio::null_logger_t;
+  using request_handler_t = std::function<restinio::request_handling_status_t(
+      restinio::request_handle_t)>;
+  using connection_state_listener_t = state_listener;
+  static constexpr bool use_connection_count_limiter = true;
+};
+
+http_request ReadRequest(const restinio::request_handle_t& request,
+                         ticket_id ticket) {
+  const auto& header = request->header();
+  http_request r;
+  r.ticket = ticket;
+  r.method = header.method().c_str();
+  r.path = std::string(header.path());
+  r.query = std::string(header.query());
+  r.body = request->body();
+  r.authorization =
+      header.get_field_or(restinio::http_field::authorization, std::string());
+  r.if_match =
+      header.get_field_or(restinio::http_field::if_match, std::string());
+  r.task = header.get_field_or("Cassiaferry-Task", std::string());
+  return r;
+}
+
+void Write(const restinio::request_handle_t& request,
+           const http_response& response) {
+  const restinio::http_status_line_t line{
+      restinio::http_status_code_t{static_cast<uint16_t>(response.status)},
+      response.status == 200 ? "OK" : "Refused"};
+  auto out = request->create_response(line);
+  out.append_header(restinio::http_field::content_type, response.content_type);
+  if (response.retry_after_s > 0)
+    out.append_header(restinio::http_field::retry_after,
+                      std::to_string(response.retry_after_s));
+  if (response.not_run)
+    out.append_header("Cassiaferry-Not-Run", "1");
+  out.set_body(response.body);
+  out.done();
+}
+
+}  // namespace
+
+struct http_server::impl {
+  using server = restinio::running_server_handle_t<server_traits>;
+
+  restinio::request_handling_status_t Take(
+      const restinio::request_handle_t& request);
+
+  http_server_options options;
+  request_callback on_request;
+  gone_callback on_gone;
+  std::atomic<uint64_t> next_ticket{1};
+  pending_table pending;
+  server running;
+};
+
+restinio::request_handling_status_t http_server::impl::Take(
+    const restinio::request_handle_t& request) {
+  if (request->body().size() > options.max_body_bytes) {
+    http_response refusal;
+    refusal.status = 413;
+    refusal.body =
+        R"({"state":"failed","verdict":"not_run","reason":"too_large","message":"the body is longer than )" +
+        std::to_string(options.max_body_bytes) +
+        R"( bytes","retry_after_ms":0})";
+    Write(request, refusal);
+    return restinio::request_accepted();
+  }
+  const ticket_id ticket{next_ticket++};
+  http_request r = ReadRequest(request, ticket);
+  pending.Add(ticket, request);
+  on_request(std::move(r));
+  return restinio::request_accepted();
+}
+
+bool SplitAddress(const std::string& address, std::string& ip, uint16_t& port) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos)
+    return false;
+  const char* end = address.data() + address.size();
+  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+  ip = address.substr(0, colon);
+  return parsed.ec == std::errc() && parsed.ptr == end && !ip.empty();
+}
+
+http_server::http_server(http_server_options options,
+                         request_callback on_request,
+                         gone_callback on_gone)
+    : impl_(std::make_unique<impl>()) {
+  impl_->options = std::move(options);
+  impl_->on_request = std::move(on_request);
+  impl_->on_gone = std::move(on_gone);
+}
+
+http_server::~http_server() {
+  Stop();
+}
+
+std::string http_server::Start(std::string& error) {
+  std::string ip;
+  uint16_t port = 0;
+  if (!SplitAddress(impl_->options.address, ip, port)) {
+    error = "\"" + impl_->options.address + "\" is not of the form ip:port";
+    return "";
+  }
+  uint16_t bound = port;
+  const auto listener = std::make_shared<state_listener>();
+  listener->on_closed = [this](connection_key connection) {
+    for (ticket_id ticket : impl_->pending.OfConnection(connection)) {
+      impl_->pending.Take(ticket);
+      impl_->on_gone(ticket);
+    }
+  };
+  restinio::incoming_http_msg_limits_t limits;
+  limits.max_body_size(impl_->options.hard_body_bytes)
+      .max_url_size(kMaxUrl)
+      .max_field_count(kMaxHeaders)
+      .max_field_name_size(kMaxHeaderName)
+      .max_field_value_size(kMaxHeaderValue);
+  try {
+    impl_->running = restinio::run_async<server_traits>(
+        restinio::own_io_context(),
+        restinio::server_settings_t<server_traits>{}
+            .address(ip)
+            .port(port)
+            .acceptor_post_bind_hook(
+                [&bound](restinio::asio_ns::ip::tcp::acceptor& acceptor) {
+                  bound = acceptor.local_endpoint().port();
+                })
+            .request_handler(
+                [this](restinio::request_handle_t r) { return impl_->Take(r); })
+            .connection_state_listener(listener)
+            .incoming_http_msg_limits(limits)
+            .max_parallel_connections(impl_->options.max_connections)
+            .max_pipelined_requests(kPipelined)
+            .read_next_http_message_timelimit(impl_->options.read_timeout)
+            .write_http_response_timelimit(impl_->options.write_timeout)
+            .handle_request_timeout(kHandleTimeout),
+        impl_->options.threads);
+  } catch (const std::exception& e) {
+    error = "can't listen on " + impl_->options.address + ": " + e.what();
+    return "";
+  }
+  return ip + ":" + std::to_string(bound);
+}
+
+void http_server::Answer(ticket_id ticket, const http_response& response) {
+  if (const restinio::request_handle_t request = impl_->pending.Take(ticket))
+    Write(request, response);
+}
+
+size_t http_server::Pending() const {
+  return impl_->pending.Size();
+}
+
+void http_server::Stop() {
+  if (!impl_->running)
+    return;
+  impl_->running->stop();
+  impl_->running->wait();
+  impl_->running.reset();
+  impl_->pending.Clear();
+}
+
+}  // namespace cassiaferry
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,78 @@
+// HTTP server (RESTinio) whose requests are answered later, from any thread.
+
+#ifndef CASSIAFERRY_SRC_NET_HTTP_SERVER_H_
+#define CASSIAFERRY_SRC_NET_HTTP_SERVER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cassiaferry/ids.h"
+
+namespace cassiaferry {
+
+struct http_request {
+  ticket_id ticket;    // names the request until it is answered
+  std::string method;  // "POST"
+  std::string path;    // without the query
+  std::string query;   // without the question mark
+  std::string body;
+  std::string authorization;  // the header's value, empty if absent
+  std::string if_match;
+  std::string task;  // "Cassiaferry-Task", for upstreams
+};
+
+struct http_response {
+  int status = 200;
+  std::string body;
+  std::string content_type = "application/json";
+  int64_t retry_after_s = 0;  // 0: no such header
+  bool not_run = false;       // adds "Cassiaferry-Not-Run: 1", for upstreams
+};
+
+struct http_server_options {
+  std::string address;  // "ip:port"; port 0 takes a free one
+  size_t threads = 2;
+  size_t max_body_bytes = 2 << 20;  // a longer body is answered with 413 ...
+  size_t hard_body_bytes =
+      8 << 20;  // ... up to here; beyond, the connection is closed
+  size_t max_connections = 512;
+  std::chrono::seconds read_timeout{15};  // for one whole request
+  std::chrono::seconds write_timeout{15};
+};
+
+class http_server {
+ public:
+  // Both are called on traffic threads. `on_gone`: the caller closed its
+  // connection before the answer.
+  using request_callback = std::function<void(http_request)>;
+  using gone_callback = std::function<void(ticket_id)>;
+
+  http_server(http_server_options options,
+              request_callback on_request,
+              gone_callback on_gone);
+  ~http_server();
+
+  // Returns the address in use. On failure empty, and `error` says why.
+  std::string Start(std::string& error);
+
+  void Answer(ticket_id ticket,
+              const http_response& response);  // any thread, once each
+  size_t Pending() const;                      // requests not yet answered
+  void Stop();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// "127.0.0.1:80" into its parts; false: not of that form.
+bool SplitAddress(const std::string& address, std::string& ip, uint16_t& port);
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_SRC_NET_HTTP_SERVER_H_
