--- a/model/check.sh
+++ b/model/check.sh
@@ -38,7 +38,7 @@
 
 expect holds dispatch
 expect holds dispatch REPEAT
-for m in NO_FENCE NO_REJECT_EPOCH NO_MEMORY_TOKEN NO_RECONCILE; do expect violated dispatch $m; done
+for m in NO_FENCE NO_REJECT_EPOCH NO_MEMORY_TOKEN NO_RECONCILE NO_DRAIN_GATE; do expect violated dispatch $m; done
 expect violated dispatch REPEAT NO_DEDUP
 expect holds claims
 for m in NO_ASK NO_VERSION ABSENT_IS_WON FORGET_STARTED CRASHED_IS_FREE; do expect violated claims $m; done
--- a/model/dispatch.pml
+++ b/model/dispatch.pml
@@ -2,7 +2,7 @@
  *
  * Covers start, refuse, result, broken and silent streams (frames of older
  * streams arrive late or never), fencing by epoch, reconciling, sidecar crash
- * with loss of memory, and the entry giving up.
+ * with loss of memory, a planned stop, and the entry giving up.
  *
  * Code: src/core/sidecar.cc, src/core/entry_links.cc. Each guard has a mutant
  * (a macro that removes it); model/check.sh shows that every one is caught.
@@ -11,6 +11,7 @@
  *   NO_REJECT_EPOCH  an entry believes a refusal that came on an older stream
  *   NO_MEMORY_TOKEN  "never started" is believed of a sidecar that forgot
  *   NO_RECONCILE     a broken stream alone counts as "not run"
+ *   NO_DRAIN_GATE    a sidecar that drains goes on starting tasks
  *   NO_DEDUP         a sidecar starts a task that it knows again (with REPEAT:
  *                    a frame arrives twice, and nothing is refused)
  */
@@ -20,7 +21,7 @@
 #define CHANNELS 6 /* WORKERS * (EPOCHS + 1), epochs from 1 */
 #define AT(w, e) ((w) * (EPOCHS + 1) + (e))
 
-mtype = { hello, start, reject, result, reconciled, never_started, known };
+mtype = { hello, start, reject, result, reconciled, goodbye, never_started, known };
 
 /* A channel for each stream: in order within one, in any order between them. */
 chan to_sidecar[CHANNELS] = [2] of { mtype, bool };           /* kind, asks about the task */
@@ -29,6 +30,7 @@
 byte starts = 0;          /* on the upstreams, all together */
 bool said_not_run = false;
 byte crashes = 0;
+bool acknowledged = false; /* the entry has the task's result */
 
 proctype sidecar(byte w) {
   byte dialled = 0;
@@ -36,10 +38,15 @@
   byte token = 1;
   bool knows = false;     /* started here, or its result is kept */
   bool running = false;
+  bool draining = false;
+  bool said = false;      /* goodbye; the process lingers until the stream closes */
   byte e;
   bool asks;
 end:
   do
+  :: atomic { w == 0 && !draining -> draining = true }
+  :: atomic { draining && !said && !running && (!knows || acknowledged) && fence > 0 && nfull(to_entry[AT(w, fence)]) ->
+       to_entry[AT(w, fence)]!goodbye(never_started, 0); said = true }
   :: dialled < EPOCHS -> atomic { dialled++; to_entry[AT(w, dialled)]!hello(never_started, 0) }
   :: atomic {
      if :: e = 1 :: e = 2 fi;  /* which stream */
@@ -65,12 +72,19 @@
 #ifdef NO_DEDUP
              :: true -> starts++; knows = true; running = true
 #else
+#ifdef NO_DRAIN_GATE
              :: !knows -> starts++; knows = true; running = true
+#else
+             :: !knows && !draining -> starts++; knows = true; running = true
+#endif
 #endif
 #ifndef REPEAT
              :: !knows && nfull(to_entry[AT(w, e)]) -> to_entry[AT(w, e)]!reject(never_started, 0)
 #endif
              :: knows
+#ifdef REPEAT
+             :: !knows && draining
+#endif
              fi
           :: else
           fi
@@ -149,7 +163,17 @@
           fi
      :: to_entry[AT(w, e)]?result(fate, token) ->
           if
-          :: state == SENT && at == w -> state = ENDED
+          :: state == SENT && at == w -> state = ENDED; acknowledged = true
+          :: else
+          fi
+     :: to_entry[AT(w, e)]?goodbye(fate, token) ->
+          if
+          :: e == current[w] ->
+             up[w] = false;
+             if
+             :: state == SENT && at == w -> state = WAITING
+             :: else
+             fi
           :: else
           fi
      :: state == WAITING && up[w] && sends < 3 && nfull(to_sidecar[AT(w, current[w])]) ->
@@ -157,7 +181,7 @@
           sends++; state = SENT; at = w
 #ifdef REPEAT
      /* A start is sent twice. */
-     :: state == SENT && at == w && nfull(to_sidecar[AT(w, current[w])]) && sends < 3 ->
+     :: state == SENT && at == w && up[w] && nfull(to_sidecar[AT(w, current[w])]) && sends < 3 ->
           to_sidecar[AT(w, current[w])]!start(false); sends++
 #endif
      :: state == WAITING -> state = ENDED; said_not_run = true
