--- a/include/cassiaferry/config.h
+++ b/include/cassiaferry/config.h
@@ -91,8 +91,8 @@
       0;  // slot_offer: a view of this age counts half; 0: age does not count
   int64_t tell_after_ms = 10;  // slot_offer: a job must have waited so long
                                // before sidecars are told
-  bool may_queue =
-      false;  // slot_offer: a start that finds no free slot queues there
+  uint32_t queue_from =
+      8;  // slot_offer: a start of a job with so many waiting tasks may queue
   int64_t improve_ms = 200;  // slot_offer: how much earlier it must be to tell
 };
 
--- a/include/cassiaferry/metrics.h
+++ b/include/cassiaferry/metrics.h
@@ -69,7 +69,8 @@
   void Add(double value);
   uint64_t Count() const;
   double Mean() const;
-  double Quantile(double q) const;  // q one of 0.5, 0.95, 0.99
+  double Quantile(
+      double q) const;  // q one of 0.5, 0.95, 0.99; NaN: too few values yet
 
  private:
   struct impl;
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -92,6 +92,7 @@
                  const std::string& link_address);
   void ForgetSilentPeers();
   void PublishPeers();
+  std::vector<std::string> PeerAddresses();  // HTTP
   nlohmann::json Greeting(config_version known);
   void Background();        // every second, on the background thread
   void FinishFirstRound();  // when every source of configuration has answered
--- a/src/apps/entry_http.cc
+++ b/src/apps/entry_http.cc
@@ -170,6 +170,7 @@
     loop_.Call([this, ticket = r.ticket] {
       json status = StatusOf(state_, Now());
       status["ready"] = ready_.load();
+      status["peer_http"] = PeerAddresses();
       ReplyJson(ticket, 200, status);
     });
   } else if (r.path == "/metrics") {
--- a/src/apps/entry_platform.cc
+++ b/src/apps/entry_platform.cc
@@ -363,6 +363,15 @@
   });
 }
 
+std::vector<std::string> entry_app::PeerAddresses() {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::string> addresses;
+  addresses.reserve(peers_.size());
+  for (const auto& [address, peer] : peers_)
+    addresses.push_back(address);
+  return addresses;
+}
+
 void entry_app::PublishPeers() {
   peers_changed event;
   {
--- a/src/apps/load_main.cc
+++ b/src/apps/load_main.cc
@@ -539,7 +539,7 @@
       Die(kExitBadInput, "load: --set: " + error);
     j.merge_patch(changes);
   }
-  const load_shape shape = ReadShape(j, error);
+  load_shape shape = ReadShape(j, error);
   if (!error.empty())
     Die(kExitBadInput,
         "load: " + (FLAGS_shape.empty() ? "--set" : FLAGS_shape) + ": " +
--- a/src/core/config.cc
+++ b/src/core/config.cc
@@ -162,7 +162,7 @@
     {"fanout", field_kind::integer, 1, 1000},
     {"improve_fanout", field_kind::integer, 0, 1000},
     {"improve_ms", field_kind::integer, 0, 60'000},
-    {"may_queue", field_kind::boolean},
+    {"queue_from", field_kind::integer, 1, 1e6},
     {"ageing_cap_ms", field_kind::integer, 0, 3'600'000},
     {"tell_after_ms", field_kind::integer, 0, 10'000},
 };
@@ -291,7 +291,7 @@
   p.fanout = j.value("fanout", p.fanout);
   p.improve_fanout = j.value("improve_fanout", p.improve_fanout);
   p.improve_ms = j.value("improve_ms", p.improve_ms);
-  p.may_queue = j.value("may_queue", p.may_queue);
+  p.queue_from = j.value("queue_from", p.queue_from);
   p.ageing_cap_ms = j.value("ageing_cap_ms", p.ageing_cap_ms);
   p.tell_after_ms = j.value("tell_after_ms", p.tell_after_ms);
   return p;
--- a/src/core/entry_dispatch.cc
+++ b/src/core/entry_dispatch.cc
@@ -324,7 +324,11 @@
     if (!chosen)
       return;
     UnqueueJob(s, job);
-    SendTask(s, now, job, *chosen, job.policy.may_queue);
+    // A view may be stale. A small job's task is refused then and tried
+    // elsewhere; a large job's may as well wait there, which spares two
+    // records.
+    const bool may_queue = job.waiting.size() >= job.policy.queue_from;
+    SendTask(s, now, job, *chosen, may_queue);
     QueueJob(s, job);
     std::erase_if(workers, [](const worker_choice& c) { return c.free == 0; });
     for (worker_choice& choice : workers) {
--- a/src/core/metrics.cc
+++ b/src/core/metrics.cc
@@ -9,6 +9,7 @@
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <limits>
 #include <vector>
 
 namespace cassiaferry {
@@ -19,6 +20,9 @@
 
 const std::vector<double> kQuantiles = {0.5, 0.95, 0.99};
 
+// P-square estimates mean nothing before their markers have spread out.
+constexpr uint64_t kQuantileSamples = 20;
+
 using accumulator =
     acc::accumulator_set<double,
                          acc::stats<acc::tag::count,
@@ -82,9 +86,9 @@
 }
 
 double distribution::Quantile(double q) const {
-  return Count() == 0
-             ? 0
-             : acc::quantile(impl_->values, acc::quantile_probability = q);
+  if (Count() < kQuantileSamples)
+    return std::numeric_limits<double>::quiet_NaN();
+  return acc::quantile(impl_->values, acc::quantile_probability = q);
 }
 
 const char* ToText(retry_reason r) {
--- a/src/net/platform_client.cc
+++ b/src/net/platform_client.cc
@@ -143,7 +143,7 @@
   call.timeout_ms = kCallTimeoutMs;
   http_.Start(std::move(call),
               [done = std::move(done)](const http_reply& reply) {
-                done(IsAnswer(reply), std::move(reply.body));
+                done(IsAnswer(reply), reply.body);
               });
 }
 
@@ -157,7 +157,7 @@
   call.timeout_ms = kCallTimeoutMs;
   http_.Start(std::move(call),
               [done = std::move(done)](const http_reply& reply) {
-                done(IsAnswer(reply), std::move(reply.body));
+                done(IsAnswer(reply), reply.body);
               });
 }
 
--- a/tests/faults_test.cc
+++ b/tests/faults_test.cc
@@ -45,7 +45,7 @@
 // Sends jobs from several threads until told to stop; counts the answers.
 class steady_load {
  public:
-  steady_load(const test_system& sys, std::vector<int> entries) {
+  steady_load(const test_system& sys, const std::vector<int>& entries) {
     for (int entry : entries) {
       callers_.push_back(std::async(std::launch::async, [this, &sys, entry] {
         while (!stop_) {
--- a/tests/input_test.cc
+++ b/tests/input_test.cc
@@ -55,7 +55,7 @@
 }
 
 std::string WriteFile(const std::string& name, const std::string& text) {
-  const std::string path = cassiaferry::ProgramFolder() + "/" + name;
+  std::string path = cassiaferry::ProgramFolder() + "/" + name;
   std::ofstream(path) << text;
   return path;
 }
