Sidecars offer no more slots than tasks wait; floor of any policy in the load tool

Cause: at 50% load a sidecar with several free slots offered them all to a backlog of one task (48 declines and 261 offers in 2,823 tasks). The backlog carries the number of waiting tasks now. Unit test, shown failing first by taking the count out again.

Unit tests that two mutants of the code showed missing: an entry that notices a frozen sidecar, and queued tasks of a broken stream.

--- a/include/cassiaferry/sidecar.h
+++ b/include/cassiaferry/sidecar.h
@@ -141,6 +141,7 @@
   bool linked = false;
   micros last_heard{0};
   order_key backlog = kNoBacklog;  // absolute, on this sidecar's clock
+  uint32_t backlog_tasks = 0;      // slots still wanted for it
   std::deque<micros> offers;  // when each unanswered offer or grant was made
   uint32_t starts_seen = 0;
   uint64_t next_result = 1;
--- a/src/apps/app.cc
+++ b/src/apps/app.cc
@@ -115,6 +115,14 @@
   return (static_cast<uint64_t>(device()) << 32) | device();
 }
 
+std::string StartOrDie(http_server& server, const char* prefix) {
+  std::string error;
+  std::string address = server.Start(error);
+  if (address.empty())
+    Die(kExitCantListen, prefix + error);
+  return address;
+}
+
 void PrintReady(const nlohmann::json& line) {
   std::cout << line.dump() << std::endl;
 }
--- a/src/apps/app.h
+++ b/src/apps/app.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "../net/http_server.h"
 #include "cassiaferry/config.h"
 #include "cassiaferry/ids.h"
 
@@ -47,6 +48,10 @@
 
 std::string ReadFile(const std::string& path, std::string& error);
 
+// Starts a server and returns its address; exits with kExitCantListen and a
+// sentence if the address can't be had.
+std::string StartOrDie(http_server& server, const char* prefix);
+
 // One line of JSON on stdout, for whoever started this process.
 void PrintReady(const nlohmann::json& line);
 
--- a/src/apps/bench_main.cc
+++ b/src/apps/bench_main.cc
@@ -48,6 +48,7 @@
 constexpr uint32_t kSlots = 8;
 constexpr int64_t kRunMs = 250;
 constexpr int64_t kStepMs = 1;
+constexpr int kIdleSteps = 1000;
 constexpr int64_t kWarmMs = 1000;
 constexpr int64_t kMeasuredMs = 2000;
 constexpr char kEntryAddress[] = "entry";
@@ -184,6 +185,10 @@
     world.Step(0);
   const double entry_heap = static_cast<double>(HeapBytes() - heap_before) /
                             static_cast<double>(workers);
+  const double idle_before = world.entry_seconds;
+  for (int step = 0; step < kIdleSteps; ++step)
+    world.Step(0);
+  const double idle_us = (world.entry_seconds - idle_before) * 1e6 / kIdleSteps;
   const double rate =
       FLAGS_load * static_cast<double>(workers) * kSlots * 1000 / kRunMs;
   const double jobs_per_step = rate / FLAGS_tasks / (1000.0 / kStepMs);
@@ -195,12 +200,13 @@
   for (int64_t t = 0; t < kMeasuredMs; t += kStepMs)
     world.Step(jobs_per_step);
   const auto starts = static_cast<double>(std::max<uint64_t>(1, world.starts));
-  std::printf("%8zu %10.0f %12.2f %14.2f %12.1f %12.1f %12.1f\n", workers,
-              starts * 1000 / kMeasuredMs, world.entry_seconds * 1e6 / starts,
+  std::printf("%8zu %10.0f %12.2f %14.2f %12.1f %12.1f %12.1f %12.2f\n",
+              workers, starts * 1000 / kMeasuredMs,
+              world.entry_seconds * 1e6 / starts,
               world.sidecar_seconds * 1e6 / starts,
               static_cast<double>(world.to_sidecar_bytes) / starts,
               static_cast<double>(world.to_entry_bytes) / starts,
-              entry_heap / 1024);
+              entry_heap / 1024, idle_us);
   std::fflush(stdout);
 }
 
@@ -220,9 +226,9 @@
 }
 
 void MeasureTables() {
-  std::printf("%8s %10s %12s %14s %12s %12s %12s\n", "workers", "starts/s",
+  std::printf("%8s %10s %12s %14s %12s %12s %12s %12s\n", "workers", "starts/s",
               "entry us/st", "sidecar us/st", "B to side", "B to entry",
-              "KB/worker");
+              "KB/worker", "idle us/tick");
   std::istringstream list(FLAGS_workers);
   std::string number;
   while (std::getline(list, number, ','))
--- a/src/apps/ctl_main.cc
+++ b/src/apps/ctl_main.cc
@@ -49,7 +49,6 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kPoll{50};
-constexpr int64_t kCallTimeoutMs = 10'000;
 
 // ---- [1] The entry ----------------------------------------------------------
 
@@ -63,15 +62,9 @@
                 const std::string& path,
                 const std::string& body = "",
                 std::vector<std::string> headers = {}) {
-  http_call call;
-  call.method = method;
-  call.url = "http://" + address + path;
-  call.body = body;
-  call.headers = std::move(headers);
-  call.headers.push_back("Authorization: Bearer " +
-                         FromEnvironment(FLAGS_token, "CASSIAFERRY_TOKEN"));
-  call.timeout_ms = kCallTimeoutMs;
-  return FetchOnce(std::move(call));
+  headers.push_back("Authorization: Bearer " +
+                    FromEnvironment(FLAGS_token, "CASSIAFERRY_TOKEN"));
+  return Fetch(method, address, path, body, std::move(headers));
 }
 
 // Exits with the entry's own sentence unless it answered 200.
--- a/src/apps/entry_app.cc
+++ b/src/apps/entry_app.cc
@@ -66,14 +66,11 @@
 }
 
 void entry_app::Start() {
-  std::string error;
   const std::string link = links_->Start(settings_.link);
   if (link.empty())
     Die(kExitCantListen, kPrefix + std::string("can't listen on ") +
                              settings_.link + " for sidecars");
-  const std::string http = http_->Start(error);
-  if (http.empty())
-    Die(kExitCantListen, kPrefix + error);
+  const std::string http = StartOrDie(*http_, kPrefix);
   if (settings_.advertise_link.empty())
     settings_.advertise_link = link;
   if (settings_.advertise_http.empty())
--- a/src/apps/load_main.cc
+++ b/src/apps/load_main.cc
@@ -28,6 +28,7 @@
 #include "../net/control_loop.h"
 #include "../net/http_client.h"
 #include "app.h"
+#include "load_floor.h"
 #include "load_shape.h"
 
 DEFINE_string(system, "", "file with the line that cassiaferry-local printed");
@@ -68,20 +69,6 @@
   return j;
 }
 
-http_reply Call(const std::string& method,
-                const std::string& address,
-                const std::string& path,
-                const std::string& body = "",
-                std::vector<std::string> headers = {}) {
-  http_call call;
-  call.method = method;
-  call.url = "http://" + address + path;
-  call.body = body;
-  call.headers = std::move(headers);
-  call.timeout_ms = 10'000;
-  return FetchOnce(std::move(call));
-}
-
 std::string Bearer(const json& system) {
   return "Authorization: Bearer " + system["admin_token"].get<std::string>();
 }
@@ -90,7 +77,7 @@
 void SwitchPolicy(const json& system, const std::string& policy) {
   const std::string first = system["entries"][0]["http"];
   const json current =
-      json::parse(Call("GET", first, "/v1/config", "", {Bearer(system)}).body,
+      json::parse(Fetch("GET", first, "/v1/config", "", {Bearer(system)}).body,
                   nullptr, false);
   if (!current.is_object() || !current["config"]["policies"].contains(policy))
     Die(kExitBadInput,
@@ -100,15 +87,15 @@
   const json body = {{"config", config}, {"author", "cassiaferry-load"}};
   const uint64_t version = current["version"];
   const http_reply reply =
-      Call("PUT", first, "/v1/config", body.dump(),
-           {Bearer(system), "If-Match: " + std::to_string(version)});
+      Fetch("PUT", first, "/v1/config", body.dump(),
+            {Bearer(system), "If-Match: " + std::to_string(version)});
   if (reply.status != 200)
     Die(kExitFailed,
         "load: the policy could not be set: " + reply.body + reply.error);
   for (const json& entry : system["entries"]) {
     for (int i = 0; i < kConfigPolls; ++i) {
       const json status = json::parse(
-          Call("GET", entry["http"], "/v1/status").body, nullptr, false);
+          Fetch("GET", entry["http"], "/v1/status").body, nullptr, false);
       if (status.is_object() && status["config_version"] > version)
         break;
       std::this_thread::sleep_for(kPoll);
@@ -118,8 +105,8 @@
 
 void Behave(const json& system, int upstream, const json& behaviour) {
   if (upstream >= 0 && upstream < static_cast<int>(system["upstreams"].size()))
-    Call("POST", system["upstreams"][upstream]["http"], "/behave",
-         behaviour.dump());
+    Fetch("POST", system["upstreams"][upstream]["http"], "/behave",
+          behaviour.dump());
 }
 
 // Counters of all entries and sidecars, summed by name and label.
@@ -127,7 +114,7 @@
   std::map<std::string, double> sums;
   for (const char* role : {"entries", "sidecars"}) {
     for (const json& process : system[role]) {
-      std::istringstream lines(Call("GET", process["http"], "/metrics").body);
+      std::istringstream lines(Fetch("GET", process["http"], "/metrics").body);
       std::string line;
       while (std::getline(lines, line)) {
         const size_t space = line.rfind(' ');
@@ -142,7 +129,7 @@
 double DuplicateStarts(const json& system) {
   std::map<std::string, int> starts;
   for (const json& upstream : system["upstreams"]) {
-    const json j = json::parse(Call("GET", upstream["http"], "/starts").body,
+    const json j = json::parse(Fetch("GET", upstream["http"], "/starts").body,
                                nullptr, false);
     if (!j.is_object())
       continue;
@@ -399,22 +386,23 @@
   return times[kSamples / 2];
 }
 
-json MeasureRatios(const sender& s, double round_trip_ms) {
+// `response_ms` is negative for a job without a whole answer.
+json MeasureRatios(const std::vector<planned_job>& jobs,
+                   const std::vector<double>& response_ms,
+                   double round_trip_ms) {
   std::vector<double> all;
   std::vector<double> small;
   std::vector<double> large;
   std::map<std::string, std::vector<double>> teams;
-  for (size_t i = 0; i < s.Jobs().size(); ++i) {
-    if (s.Sent()[i].what != outcome::complete)
+  for (size_t i = 0; i < jobs.size(); ++i) {
+    if (response_ms[i] < 0)
       continue;
-    const planned_job& job = s.Jobs()[i];
-    const double ratio =
-        s.Sent()[i].response_ms / (job.longest_ms + round_trip_ms);
+    const double ratio = response_ms[i] / (jobs[i].longest_ms + round_trip_ms);
     all.push_back(ratio);
-    teams[job.team].push_back(ratio);
-    if (job.run_ms.size() <= kSmallJob)
+    teams[jobs[i].team].push_back(ratio);
+    if (jobs[i].run_ms.size() <= kSmallJob)
       small.push_back(ratio);
-    if (job.run_ms.size() > kLargeJob)
+    if (jobs[i].run_ms.size() > kLargeJob)
       large.push_back(ratio);
   }
   json j = {{"all", Distribution(all)},
@@ -425,6 +413,14 @@
   return j;
 }
 
+std::vector<double> Responses(const sender& s) {
+  std::vector<double> response_ms;
+  response_ms.reserve(s.Sent().size());
+  for (const sent_job& job : s.Sent())
+    response_ms.push_back(job.what == outcome::complete ? job.response_ms : -1);
+  return response_ms;
+}
+
 json CountOutcomes(const sender& s) {
   constexpr std::array<const char*, 6> kNames = {
       "open", "complete", "failed", "refused", "wrong", "cancelled"};
@@ -487,7 +483,7 @@
           {"seed", seed},
           {"round_trip_ms", round_trip_ms},
           {"jobs", CountOutcomes(s)},
-          {"ratio", MeasureRatios(s, round_trip_ms)},
+          {"ratio", MeasureRatios(s.Jobs(), Responses(s), round_trip_ms)},
           {"records", CountRecords(before, after)},
           {"duplicate_starts", DuplicateStarts(system)}};
 }
@@ -523,6 +519,22 @@
   std::fflush(stdout);
 }
 
+void PrintFloor(const load_shape& shape, uint64_t seed, floor_order order) {
+  const std::vector<planned_job> jobs = PlanJobs(shape, seed);
+  const json ratio =
+      MeasureRatios(jobs, CentralQueue(jobs, shape.slots, order), 0);
+  const json& all = ratio["all"];
+  const json& small = ratio["small"];
+  std::printf(
+      "%-16s %5lu %6zu %5s %5s %5s | %6.3f %6.3f %6.3f %6.3f | %6.3f %6.3f "
+      "%6.3f |\n",
+      order == floor_order::first_come ? "floor: first" : "floor: fewest", seed,
+      jobs.size(), "", "", "", all["mean"].get<double>(),
+      all["p50"].get<double>(), all["p95"].get<double>(),
+      all["p99"].get<double>(), small["mean"].get<double>(),
+      small["p99"].get<double>(), ratio["large"]["p99"].get<double>());
+}
+
 // ---- [5] Main ---------------------------------------------------------------
 
 load_shape ReadShapeFlags() {
@@ -570,6 +582,12 @@
   std::printf("shape %s: load %.2f of %u slots\n", shape.name.c_str(),
               shape.load, shape.slots);
   PrintHead();
+  for (int run = 0; run < FLAGS_runs; ++run) {
+    PrintFloor(shape, FLAGS_seed + static_cast<uint64_t>(run),
+               floor_order::first_come);
+    PrintFloor(shape, FLAGS_seed + static_cast<uint64_t>(run),
+               floor_order::fewest_remaining);
+  }
   json results = json::array();
   bool all_right = true;
   for (const std::string& policy : Policies()) {
--- a/src/apps/local_main.cc
+++ b/src/apps/local_main.cc
@@ -151,20 +151,14 @@
 }
 
 json local_system::AddListener() {
-  http_call call;
-  call.method = "POST";
-  call.url = "http://" + proxy_.ready["http"].get<std::string>() + "/listeners";
-  call.body = "{}";
-  return json::parse(FetchOnce(call).body);
+  return json::parse(
+      Fetch("POST", proxy_.ready["http"], "/listeners", "{}").body);
 }
 
 void local_system::SetTarget(const json& listener, const std::string& target) {
-  http_call call;
-  call.method = "POST";
-  call.url = "http://" + proxy_.ready["http"].get<std::string>() +
-             "/listeners/" + std::to_string(listener["id"].get<int>());
-  call.body = json{{"target", target}}.dump();
-  FetchOnce(call);
+  const std::string path =
+      "/listeners/" + std::to_string(listener["id"].get<int>());
+  Fetch("POST", proxy_.ready["http"], path, json{{"target", target}}.dump());
 }
 
 void local_system::StartEntry(int index) {
@@ -260,10 +254,8 @@
 // ---- [3] Waiting until all serve --------------------------------------------
 
 bool IsServing(const std::string& http, int workers) {
-  http_call call;
-  call.url = "http://" + http + "/v1/status";
-  call.timeout_ms = 2000;
-  const json status = json::parse(FetchOnce(call).body, nullptr, false);
+  const json status =
+      json::parse(Fetch("GET", http, "/v1/status").body, nullptr, false);
   if (!status.is_object() || !status.value("ready", false))
     return false;
   int ready = 0;
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -119,10 +119,7 @@
   server_ = std::make_unique<http_server>(
       options, [this](const http_request& r) { OnRequest(r); },
       [](ticket_id) {});
-  std::string error;
-  const std::string address = server_->Start(error);
-  if (address.empty())
-    Die(kExitCantListen, kPrefix + error);
+  const std::string address = StartOrDie(*server_, kPrefix);
   LOG(INFO) << kPrefix << "serving on " << address << " as "
             << state_.options.name;
   PrintReady({{"http", address}, {"pid", getpid()}});
--- a/src/core/entry.cc
+++ b/src/core/entry.cc
@@ -18,14 +18,6 @@
 
 // ---- [1] Events -------------------------------------------------------------
 
-void TakeDocument(entry_state& s, const config_document& document) {
-  if (document.version <= s.document.version)
-    return;
-  s.document = document;
-  s.config = ReadConfig(nlohmann::json::parse(document.json));
-  s.actions.push_back(config_adopted{document});
-}
-
 void TakePeers(entry_state& s, std::vector<std::string> addresses) {
   if (addresses == s.peers)
     return;
@@ -47,7 +39,7 @@
   void operator()(caller_gone& e) { DropCaller(s, now, e.ticket); }
   void operator()(sidecar_frame_received& e) { TakeSidecarFrame(s, now, e); }
   void operator()(sidecar_link_lost& e) { LoseLink(s, now, e.link); }
-  void operator()(config_received& e) { TakeDocument(s, e.document); }
+  void operator()(config_received& e) { AdoptConfig(s, e.document); }
   void operator()(peers_changed& e) {
     TakePeers(s, std::move(e.link_addresses));
   }
--- a/src/core/entry_links.cc
+++ b/src/core/entry_links.cc
@@ -243,19 +243,6 @@
 
 // ---- [6] Frames -------------------------------------------------------------
 
-void AdoptConfig(entry_state& s, const config_document& document) {
-  if (document.version <= s.document.version)
-    return;
-  nlohmann::json parsed;
-  std::string error;
-  if (!ParseJson(document.json, parsed, error) ||
-      !CheckConfig(parsed, check_scope::whole).empty())
-    return;
-  s.document = document;
-  s.config = ReadConfig(parsed);
-  s.actions.push_back(config_adopted{document});
-}
-
 void TakeBody(entry_state& s,
               micros now,
               worker_id id,
@@ -310,6 +297,19 @@
     TakeGoodbye(s, now, id);
 }
 
+void AdoptConfig(entry_state& s, const config_document& document) {
+  if (document.version <= s.document.version)
+    return;
+  nlohmann::json parsed;
+  std::string error;
+  if (!ParseJson(document.json, parsed, error) ||
+      !CheckConfig(parsed, check_scope::whole).empty())
+    return;
+  s.document = document;
+  s.config = ReadConfig(parsed);
+  s.actions.push_back(config_adopted{document});
+}
+
 // ---- [7] Silence and loss ---------------------------------------------------
 
 void LoseLink(entry_state& s, micros now, link_id link) {
@@ -351,6 +351,11 @@
   w.version_sent = s.document.version;
 }
 
+uint32_t WaitingTasks(const entry_state& s, const worker_row& w) {
+  const auto it = s.upstreams.find(w.upstream.name);
+  return it == s.upstreams.end() ? 0 : it->second.waiting_tasks;
+}
+
 // The backlog rides on every frame that is sent anyway, and costs no record
 // then. Failure guarded against: a worker that is held back (ejected, on
 // probation or slow) would be told of a backlog that it may not serve, and
@@ -359,6 +364,7 @@
                   micros now,
                   worker_row& w,
                   entry_frame& frame) {
+  frame.backlog_tasks = WaitingTasks(s, w);
   if (frame.backlog)
     return;
   const order_key head = BacklogFor(s, now, w);
--- a/src/core/entry_systems.h
+++ b/src/core/entry_systems.h
@@ -61,6 +61,8 @@
 void TakeSidecarFrame(entry_state& s,
                       micros now,
                       const sidecar_frame_received& event);
+// Takes a newer, valid configuration; an older or invalid one changes nothing.
+void AdoptConfig(entry_state& s, const config_document& document);
 void LoseLink(entry_state& s, micros now, link_id link);
 void CheckWorkers(entry_state& s, micros now);
 void FlushWorkers(entry_state& s, micros now);
--- a/src/core/sidecar.cc
+++ b/src/core/sidecar.cc
@@ -333,6 +333,16 @@
     entry.offers.pop_front();
 }
 
+void TakeBacklog(micros now, entry_memory& entry, const entry_frame& frame) {
+  entry.backlog = Absolute(now, *frame.backlog);
+  // What is offered already counts against what is wanted.
+  const auto offered = static_cast<uint32_t>(entry.offers.size());
+  entry.backlog_tasks =
+      frame.backlog_tasks > offered ? frame.backlog_tasks - offered : 0;
+  if (entry.backlog_tasks == 0)
+    entry.backlog = kNoBacklog;
+}
+
 void TakeRecords(sidecar_state& s,
                  micros now,
                  incarnation entry_name,
@@ -349,7 +359,7 @@
     TakeProbe(s, now, entry_name, probe);
   TakeDeclines(entry, frame.declines);
   if (frame.backlog)
-    entry.backlog = Absolute(now, *frame.backlog);
+    TakeBacklog(now, entry, frame);
 }
 
 void TakeFrame(sidecar_state& s, micros now, link_frame_received event) {
@@ -575,9 +585,13 @@
   return best;
 }
 
-// Keeps a slot for the entry, to be used by a start or given back.
+// Keeps a slot for the entry, to be used by a start or given back. No more
+// slots are kept than it has tasks waiting: its answer carries the newest
+// count.
 void Hold(entry_memory& entry, micros now) {
   entry.offers.push_back(now);
+  if (entry.backlog_tasks > 0 && --entry.backlog_tasks == 0)
+    entry.backlog = kNoBacklog;
 }
 
 void Offer(sidecar_state& s, micros now, entry_memory& entry, job_seq job) {
@@ -606,7 +620,8 @@
       continue;
     const size_t freed =
         link->outbox.reconcile ? 0 : link->outbox.results.size();
-    while (link->outbox.granted < freed && FreeSlots(s) > 0) {
+    while (link->outbox.granted < freed && FreeSlots(s) > 0 &&
+           entry.backlog != kNoBacklog) {
       Hold(entry, now);
       ++link->outbox.granted;
     }
--- a/src/net/codec.cc
+++ b/src/net/codec.cc
@@ -99,6 +99,7 @@
     out.add_probe_cancels(job.value);
   if (frame.backlog)
     out.set_backlog(frame.backlog->value);
+  out.set_backlog_tasks(frame.backlog_tasks);
   out.set_backlog_is_record(frame.backlog_is_record);
   out.set_declines(frame.declines);
   out.set_acked_through(frame.acked_through);
@@ -126,6 +127,7 @@
     f.probe_cancels.push_back(job_seq{job});
   if (frame.has_backlog())
     f.backlog = order_key{frame.backlog()};
+  f.backlog_tasks = frame.backlog_tasks();
   f.backlog_is_record = frame.backlog_is_record();
   f.declines = frame.declines();
   f.acked_through = frame.acked_through();
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -260,4 +260,19 @@
   return promise.get_future().get();
 }
 
+http_reply Fetch(const std::string& method,
+                 const std::string& address,
+                 const std::string& path,
+                 const std::string& body,
+                 std::vector<std::string> headers,
+                 int64_t timeout_ms) {
+  http_call call;
+  call.method = method;
+  call.url = "http://" + address + path;
+  call.body = body;
+  call.headers = std::move(headers);
+  call.timeout_ms = timeout_ms;
+  return FetchOnce(std::move(call));
+}
+
 }  // namespace cassiaferry
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -51,8 +51,14 @@
   std::unique_ptr<impl> impl_;
 };
 
-// One call, waited for. For command line tools.
+// One call, waited for. For command line tools and tests.
 http_reply FetchOnce(http_call call);
+http_reply Fetch(const std::string& method,
+                 const std::string& address,  // "ip:port"
+                 const std::string& path,
+                 const std::string& body = "",
+                 std::vector<std::string> headers = {},
+                 int64_t timeout_ms = 10'000);
 
 }  // namespace cassiaferry
 
--- a/standins/platform_main.cc
+++ b/standins/platform_main.cc
@@ -212,10 +212,7 @@
   server_ = std::make_unique<http_server>(
       options, [this](const http_request& r) { OnRequest(r); },
       [](ticket_id) {});
-  std::string error;
-  const std::string address = server_->Start(error);
-  if (address.empty())
-    Die(kExitCantListen, "platform: " + error);
+  const std::string address = StartOrDie(*server_, "platform: ");
   PrintReady({{"http", address}, {"pid", getpid()}});
 }
 
--- a/standins/proxy_main.cc
+++ b/standins/proxy_main.cc
@@ -271,10 +271,7 @@
   server_ = std::make_unique<http_server>(
       options, [this](const http_request& r) { OnRequest(r); },
       [](ticket_id) {});
-  std::string error;
-  const std::string address = server_->Start(error);
-  if (address.empty())
-    Die(kExitCantListen, "proxy: " + error);
+  const std::string address = StartOrDie(*server_, "proxy: ");
   PrintReady({{"http", address}, {"pid", getpid()}});
 }
 
--- a/standins/upstream_main.cc
+++ b/standins/upstream_main.cc
@@ -225,10 +225,7 @@
         const std::lock_guard lock(mutex_);
         cancelled_ += running_.erase(ticket);
       });
-  std::string error;
-  address_ = server_->Start(error);
-  if (address_.empty())
-    Die(kExitCantListen, "upstream: " + error);
+  address_ = StartOrDie(*server_, "upstream: ");
   sidecar_ = FLAGS_sidecar;
   PrintReady({{"http", address_}, {"pid", getpid()}});
   if (!FLAGS_advertise.empty())
--- a/tests/core_harness.cc
+++ b/tests/core_harness.cc
@@ -44,6 +44,7 @@
 core_world::core_world(int count, const std::string& policy)
     : running(static_cast<size_t>(count)),
       silent(static_cast<size_t>(count)),
+      frozen(static_cast<size_t>(count)),
       streams_(static_cast<size_t>(count)),
       announced_(static_cast<size_t>(count)),
       to_sidecars_(static_cast<size_t>(count)) {
@@ -157,6 +158,8 @@
 
 void core_world::Step() {
   for (size_t i = 0; i < sidecars.size(); ++i) {
+    if (frozen[i])
+      continue;
     std::vector<sidecar_event> events;
     events.swap(to_sidecars_[i]);
     if (announced_[i].slots > 0)
--- a/tests/core_harness.h
+++ b/tests/core_harness.h
@@ -53,6 +53,7 @@
       running;                        // by sidecar, as its upstream sees them
   std::map<std::string, int> starts;  // by task, over all upstreams
   std::vector<bool> silent;  // by sidecar: frames vanish, the stream stays open
+  std::vector<bool> frozen;  // by sidecar: it does nothing at all
   std::vector<claim_action> claims;  // what the entry asked of the platform
   std::vector<entry_event> inbox;    // for the entry's next tick
   micros now = Millis(1000);
--- a/tests/dispatch_unit_test.cc
+++ b/tests/dispatch_unit_test.cc
@@ -415,3 +415,47 @@
       world.entry.metrics.records[static_cast<size_t>(record_kind::decline)];
   CHECK(declines <= 4);
 }
+
+// A sidecar is paused with its streams open. The entry must notice by itself,
+// for the sidecar can't dial anew, and place nothing there any more.
+TEST_CASE_METHOD(two_workers, "Entry_WhenASidecarFreezes_PlacesNothingThere") {
+  world.frozen[0] = true;
+  world.Pass(2600);
+  CHECK(world.entry.workers[0].state == worker_link::down);
+  world.Submit(1, MakeRequest(2));
+  world.Pass(20);
+  world.FinishAll(1);
+  world.Pass(20);
+  CHECK(world.Complete(1) != nullptr);
+}
+
+// Tasks queue at a sidecar whose stream breaks for good. When its slots come
+// free it must not start them: the entry may have given them up as "never
+// started".
+TEST_CASE("Queue_WhenItsStreamBreaks_StartsNothing") {
+  core_world world(1, "two_choices");
+  world.Submit(1, MakeRequest(4));
+  world.Pass(20);
+  REQUIRE(world.sidecars[0].queue.size() == 2);
+  world.silent[0] = true;
+  world.Cut(0);
+  world.FinishAll(0);
+  world.Pass(500);
+  CHECK(Running(world) == 0);
+  CHECK(world.sidecars[0].queue.empty());
+}
+
+// A sidecar with several free slots hears that one task waits. It must offer
+// one slot, not all of them: each more costs an offer and a decline.
+TEST_CASE("Offers_WhenOneTaskWaits_AreOne") {
+  core_world world(1);
+  world.Announce(0, 8);
+  world.Pass(50);
+  entry_frame told;
+  told.epoch = world.sidecars[0].links[0].epoch;
+  told.backlog = order_key{0};
+  told.backlog_tasks = 1;
+  Tick(world.sidecars[0], world.now, {link_frame_received{entry_id{0}, told}});
+  CHECK(world.sidecars[0]
+            .metrics.records[static_cast<size_t>(record_kind::offer)] == 1);
+}
--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -2,6 +2,7 @@
 // clear.
 
 #include <catch2/catch.hpp>
+#include <future>
 
 #include "system.h"
 
@@ -40,3 +41,31 @@
   CHECK(r.body["reason"] == "task_failed");
   CHECK_FALSE(r.body.contains("results"));
 }
+
+// 64 callers at once, on two entries, with jobs of many sizes: every answer
+// must be whole, in order, and the caller's own.
+TEST_CASE_METHOD(small_system, "Callers_WhenManyAtOnce_EachGetTheirOwnAnswer") {
+  constexpr int kCallers = 64;
+  constexpr int kJobsEach = 10;
+  std::vector<std::future<int>> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.push_back(std::async(std::launch::async, [this, caller] {
+      int right = 0;
+      for (int n = 0; n < kJobsEach; ++n) {
+        const int tasks = 1 + (caller * 7 + n * 13) % 30;
+        const std::string text =
+            "echo:" + std::to_string(caller) + "/" + std::to_string(n);
+        const reply r = sys.Job(caller % 2, MakeJob(tasks, text));
+        bool own = r.status == 200 &&
+                   r.body["results"].size() == static_cast<size_t>(tasks);
+        for (int i = 0; own && i < tasks; ++i)
+          own = r.body["results"][i]["output"] == text.substr(5);
+        right += own;
+      }
+      return right;
+    }));
+  }
+  for (auto& caller : callers)
+    CHECK(caller.get() == kJobsEach);
+  CHECK(sys.DuplicateStarts() == 0);
+}
--- a/tests/system.cc
+++ b/tests/system.cc
@@ -53,13 +53,8 @@
            const std::string& path,
            const std::string& body,
            const std::vector<std::string>& headers) {
-  http_call call;
-  call.method = method;
-  call.url = "http://" + address + path;
-  call.body = body;
-  call.headers = headers;
-  call.timeout_ms = kCallTimeoutMs;
-  const http_reply r = FetchOnce(std::move(call));
+  const http_reply r =
+      Fetch(method, address, path, body, headers, kCallTimeoutMs);
   json parsed = json::parse(r.body, nullptr, false);
   return {r.status, parsed.is_discarded() ? json() : parsed, r.body};
 }
