--- a/src/apps/bench_main.cc
+++ b/src/apps/bench_main.cc
@@ -13,10 +13,10 @@
 
 #include <gflags/gflags.h>
 #include <malloc.h>
-#include <time.h>
 #include <unistd.h>
 
 #include <cstdio>
+#include <ctime>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <queue>
--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -48,6 +48,7 @@
   constexpr int kCallers = 64;
   constexpr int kJobsEach = 10;
   std::vector<std::future<int>> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.push_back(std::async(std::launch::async, [this, caller] {
       int right = 0;
