--- a/src/apps/ctl_main.cc
+++ b/src/apps/ctl_main.cc
@@ -72,7 +72,7 @@
   if (!reply.answered)
     Die(kExitFailed, "ctl: the entry at " + FLAGS_entry +
                          " does not answer: " + reply.error);
-  const json body = json::parse(reply.body, nullptr, false);
+  json body = json::parse(reply.body, nullptr, false);
   if (reply.status != 200) {
     const std::string message =
         body.is_object() ? body.value("message", "") : reply.body;
