--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -28,9 +28,9 @@
 done
 CASSIAFERRY_TOKEN=$(field admin_token)
 export CASSIAFERRY_TOKEN
-entry=$(sed -n 's/.*"entries":\[{[^]]*"http":"\([0-9.:]*\)".*/\1/p' "$work/system.json" | head -1)
-# Of the last sidecar started: its pid is the last in its list.
-victim=$(sed -n 's/.*"sidecars":\[\([^]]*\(\][^]]*\)*\)\],"upstreams".*/\1/p' "$work/system.json" | grep -o '"pid":[0-9]*' | tail -1 | cut -d: -f2)
+# Members of the line come sorted: entries, platform, sidecars, upstreams.
+entry=$(grep -o '"http":"[0-9.:]*"' "$work/system.json" | head -1 | cut -d'"' -f4)
+victim=$(grep -o '"pid":[0-9]*' "$work/system.json" | sed -n 14p | cut -d: -f2) # 3 entries, a platform, 10th sidecar
 
 echo "== Kaļķu Ceļš's folder is applied, and in force everywhere"
 "$bin/cassiaferry-ctl" --entry "$entry" --wait apply "$here/kalku-cels"
