Entry: a stop in an outage of the platform ends after 30 s

Cause: the drain waited for keyed outcomes to be written, without bound. Ruled out: dropping the outcome at once, which would turn every repeat during a short outage into "may have run".

--- a/include/cassiaferry/entry.h
+++ b/include/cassiaferry/entry.h
@@ -50,7 +50,8 @@
   micros lost_grace =
       Millis(5000);  // a lost sidecar's tasks are "may have run" after this
   micros forget_worker =
-      Millis(60'000);          // a lost worker's row is reused after this
+      Millis(60'000);  // a lost worker's row is reused after this
+  micros drain_grace = Millis(30'000);  // a stop waits so long for the platform
   size_t explain_keep = 4096;  // finished jobs remembered for `ctl explain`
 };
 
@@ -271,6 +272,7 @@
   random_source random;
   bool draining = false;
   bool drained_said = false;
+  micros drain_since{0};
   config_document document;
   configuration config;
   std::vector<std::string> peers;
--- a/src/core/entry.cc
+++ b/src/core/entry.cc
@@ -43,7 +43,10 @@
   void operator()(peers_changed& e) {
     TakePeers(s, std::move(e.link_addresses));
   }
-  void operator()(entry_drain_requested&) { s.draining = true; }
+  void operator()(entry_drain_requested&) {
+    s.draining = true;
+    s.drain_since = now;
+  }
   void operator()(wall_clock& e) { s.wall_ms = e.ms; }
   void operator()(transaction_reply& e) { OnTransaction(s.claims, now, e); }
   void operator()(read_reply& e) { OnRead(s.claims, now, e); }
@@ -54,9 +57,14 @@
 
 // A planned stop cuts nothing: every job is answered and every outcome written
 // before the sidecars are told goodbye.
-void CheckDrained(entry_state& s) {
-  if (!s.draining || s.drained_said || !s.jobs.empty() ||
-      !ClaimsSettled(s.claims))
+//
+// Failure guarded against: the platform is down, and the outcome of a keyed job
+// can't be written. The stop would wait for ever; after the grace it goes on,
+// and a repeat of that job is told "may have run", as its owner is gone.
+void CheckDrained(entry_state& s, micros now) {
+  if (!s.draining || s.drained_said || !s.jobs.empty())
+    return;
+  if (!ClaimsSettled(s.claims) && now - s.drain_since < s.options.drain_grace)
     return;
   for (worker_row& w : s.workers) {
     if (w.state != worker_link::up)
@@ -100,7 +108,7 @@
   Dispatch(s, now);
   TellBacklogs(s, now);
   const bool said_before = s.drained_said;
-  CheckDrained(s);
+  CheckDrained(s, now);
   FlushWorkers(s, now);
   TakeClaimActions(s);
   if (s.drained_said && !said_before)
--- a/tests/dispatch_unit_test.cc
+++ b/tests/dispatch_unit_test.cc
@@ -459,3 +459,24 @@
   CHECK(world.sidecars[0]
             .metrics.records[static_cast<size_t>(record_kind::offer)] == 1);
 }
+
+// An entry is told to stop while the platform is down and a keyed job's outcome
+// is still to be written. It must wait for a while, and then stop all the same.
+TEST_CASE_METHOD(one_worker, "Entry_WhenStoppedInAnOutage_StopsAfterTheGrace") {
+  world.Submit(1, MakeRequest(1, "payment"));
+  world.Pass(20);
+  const auto claims = Only<table_transaction>(world.claims);
+  REQUIRE(claims.size() == 1);
+  const table_row row{claims[0].ops[0].key, 1, claims[0].ops[0].value};
+  world.inbox.emplace_back(
+      transaction_reply{claims[0].call, true, {{true, row}}});
+  world.Pass(50);
+  world.FinishAll(0);
+  world.Pass(50);
+  REQUIRE(world.Complete(1) != nullptr);
+  world.inbox.emplace_back(entry_drain_requested{});
+  world.Pass(10'000);
+  CHECK_FALSE(world.entry.drained_said);
+  world.Pass(25'000);
+  CHECK(world.entry.drained_said);
+}
