--- a/include/cassiaferry/messages.h
+++ b/include/cassiaferry/messages.h
@@ -69,9 +69,7 @@
   std::vector<job_seq> probe_cancels;
   std::optional<order_key> backlog;  // relative to now; kNoBacklog: none
   uint32_t backlog_tasks = 0;        // that wait: more slots are not wanted
-  bool backlog_is_record =
-      false;  // true: sent for the backlog alone, counts as a record
-  uint32_t declines = 0;       // offers given back unused
+  uint32_t declines = 0;             // offers given back unused
   uint64_t acked_through = 0;  // results up to this number may be forgotten
   bool goodbye = false;        // the entry stops and has nothing unresolved
   std::vector<std::string>
--- a/include/cassiaferry/sidecar.h
+++ b/include/cassiaferry/sidecar.h
@@ -123,9 +123,8 @@
   micros last_heard{0};
   micros last_sent{0};
   micros next_dial{0};
-  micros first_failed{0};       // 0: the last dial went well
-  bool is_seed = false;         // seeds are never forgotten
-  config_version version_told;  // configuration sent on this stream
+  micros first_failed{0};  // 0: the last dial went well
+  bool is_seed = false;    // seeds are never forgotten
   upstream_info upstream_told;
   upstream_state state_told = upstream_state::absent;
   sidecar_frame outbox;  // filled during a tick, sent at its end
@@ -172,7 +171,6 @@
 struct sidecar_state {
   sidecar_options options;
   std::mt19937_64 random;
-  bool started = false;
   bool draining = false;
   upstream_info upstream;
   upstream_state state = upstream_state::absent;
--- a/src/core/entry_dispatch.cc
+++ b/src/core/entry_dispatch.cc
@@ -432,7 +432,6 @@
 
 void TellBacklog(entry_state& s, micros now, worker_row& w, order_key head) {
   w.outbox.backlog = RelativeTo(now, head);
-  w.outbox.backlog_is_record = true;
   w.must_send = true;
   w.told = head;
   s.metrics.Sent(record_kind::backlog);
--- a/src/core/sidecar.cc
+++ b/src/core/sidecar.cc
@@ -445,7 +445,6 @@
   link.state = link_state::dialing;
   link.last_heard = now;
   link.last_sent = now;
-  link.version_told = s.config.version;
   link.upstream_told = {};
   link.outbox = {};
   s.actions.push_back(dial_entry{id, link.address, link.epoch});
--- a/src/net/codec.cc
+++ b/src/net/codec.cc
@@ -100,7 +100,6 @@
   if (frame.backlog)
     out.set_backlog(frame.backlog->value);
   out.set_backlog_tasks(frame.backlog_tasks);
-  out.set_backlog_is_record(frame.backlog_is_record);
   out.set_declines(frame.declines);
   out.set_acked_through(frame.acked_through);
   out.set_goodbye(frame.goodbye);
@@ -128,7 +127,6 @@
   if (frame.has_backlog())
     f.backlog = order_key{frame.backlog()};
   f.backlog_tasks = frame.backlog_tasks();
-  f.backlog_is_record = frame.backlog_is_record();
   f.declines = frame.declines();
   f.acked_through = frame.acked_through();
   f.goodbye = frame.goodbye();
