--- a/include/cassiaferry/config.h
+++ b/include/cassiaferry/config.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -99,6 +100,19 @@
   std::string name;
 };
 
+// A queue of jobs whose tasks run under leases. A caller's request names it by
+// host and path.
+struct queue_config {
+  std::string name;
+  std::string host;
+  std::string path_prefix;     // "/bookings/"; the longest that matches counts
+  std::string upstream;        // whose workers run its tasks
+  int64_t priority = 0;        // 0 comes first
+  uint32_t max_attempts = 3;   // failed runs of a task before its job fails
+  double stretch = 2;          // of a job's own work: answered within this, ...
+  int64_t allowance_ms = 100;  // ... plus this, it is on time
+};
+
 // Splits jobs among policies, so that two can be compared on live traffic.
 struct comparison_config {
   std::string name;
@@ -118,6 +132,7 @@
 struct configuration {
   std::map<std::string, team_config> teams;
   std::map<std::string, upstream_config> upstreams;
+  std::vector<queue_config> queues;     // longest path_prefix first
   std::vector<policy_config> policies;  // in name order
   std::string default_policy;
   std::map<std::string, comparison_config> comparisons;
@@ -138,6 +153,11 @@
 // Requires a document in which CheckConfig finds nothing.
 configuration ReadConfig(const nlohmann::json& document);
 
+// The queue that a request's host and path name; null: there is none.
+const queue_config* MatchQueue(const configuration& config,
+                               std::string_view host,
+                               std::string_view path);
+
 // One file of the operators' folder.
 struct config_file {
   std::string name;
--- a/include/cassiaferry/entry.h
+++ b/include/cassiaferry/entry.h
@@ -28,6 +28,7 @@
 #include "cassiaferry/claims.h"
 #include "cassiaferry/config.h"
 #include "cassiaferry/ids.h"
+#include "cassiaferry/leased_jobs.h"
 #include "cassiaferry/messages.h"
 #include "cassiaferry/metrics.h"
 #include "cassiaferry/policy.h"
@@ -53,6 +54,7 @@
       Millis(60'000);  // a lost worker's row is reused after this
   micros drain_grace = Millis(30'000);  // a stop waits so long for the platform
   size_t explain_keep = 4096;  // finished jobs remembered for `ctl explain`
+  leased_options leased;
 };
 
 // ---- [2] Jobs as callers send them ------------------------------------------
@@ -107,6 +109,11 @@
   int64_t ms = 0;
 };
 
+struct leased_job_cancelled {
+  ticket_id ticket;  // answered with whether the job was known
+  std::string id;
+};
+
 using entry_event = std::variant<job_submitted,
                                  job_invalid,
                                  caller_gone,
@@ -118,7 +125,9 @@
                                  wall_clock,
                                  transaction_reply,
                                  read_reply,
-                                 owner_reply>;
+                                 owner_reply,
+                                 leased_job_submitted,
+                                 leased_job_cancelled>;
 
 // ---- [4] Actions ------------------------------------------------------------
 
@@ -147,6 +156,10 @@
   config_document document;
 };
 struct entry_drained {};
+struct answer_cancelled {
+  ticket_id ticket;
+  bool known = false;
+};
 
 using entry_action = std::variant<answer_complete,
                                   answer_failed,
@@ -155,7 +168,10 @@
                                   close_link,
                                   config_adopted,
                                   entry_drained,
-                                  claim_action>;
+                                  claim_action,
+                                  answer_leased_job,
+                                  answer_cancelled,
+                                  leased_decision>;
 
 // ---- [5] Tables -------------------------------------------------------------
 
@@ -291,6 +307,7 @@
   uint32_t waiting_tasks = 0;
   uint32_t sent_tasks = 0;
   claims_state claims;
+  leased_state leased;
   counters metrics;
   policy_metrics_table policies;
   std::deque<finished_job> finished;
--- /dev/null
+++ b/include/cassiaferry/lease_keeper.h
@@ -0,0 +1,202 @@
+// Decisions of a sidecar about the leased runs on its worker: which may start,
+// whose lease is extended, what is stopped, and what is told to owners.
+//
+// Pure: no thread, clock or socket. Part of the sidecar's tick.
+//
+// Contents
+//   [1] Options
+//   [2] Events
+//   [3] Actions
+//   [4] State
+//   [5] Calls
+
+#ifndef CASSIAFERRY_LEASE_KEEPER_H_
+#define CASSIAFERRY_LEASE_KEEPER_H_
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cassiaferry/ids.h"
+#include "cassiaferry/leases.h"
+
+namespace cassiaferry {
+
+// ---- [1] Options ------------------------------------------------------------
+
+struct keeper_options {
+  lease_bounds bounds;
+  micros look_wait = Millis(200);  // a look waits so long for an end; well
+                                   // under half a lease
+  micros call_timeout = Millis(120);  // an order without an answer by then is
+                                      // sent again; 40 times a local round trip
+  micros suspect_after = Millis(400);  // no answer of the worker for this long:
+                                       // nothing new goes there
+  uint32_t start_tries = 3;  // then the run is stopped, and reported unstarted
+  uint64_t first_fence = 1;  // above every earlier sidecar's of this worker
+};
+
+// ---- [2] Events -------------------------------------------------------------
+
+// What the worker says of itself, every second or so.
+struct leased_worker_announced {
+  leased_worker_info info;
+  uint64_t sequence = 0;  // grows with each announcement of a life
+  bool draining = false;  // takes no new work
+};
+struct leased_worker_left {
+  std::string life;
+};
+
+enum class worker_answer : uint8_t {
+  ok,
+  stale_fence,  // a higher fence has been seen
+  superseded,   // the run is not above an earlier one
+  late,         // its lease had passed when it arrived
+  no_room,
+  unavailable,  // refused, nothing done
+  bad_request,
+  other_life,  // another life of the worker answered
+  none,        // no answer: may be carried out, now or seconds later
+};
+
+struct run_start_answered {
+  run_ref ref;
+  std::string life;
+  worker_answer answer = worker_answer::none;
+};
+struct run_stop_answered {
+  run_ref ref;
+  std::string life;
+  worker_answer answer = worker_answer::none;
+};
+
+struct listed_end {
+  uint64_t number = 0;
+  run_ref ref;
+  run_end_kind how = run_end_kind::done;
+};
+struct look_answered {
+  std::string life;
+  worker_answer answer = worker_answer::none;
+  int64_t clock_ms = 0;  // the worker's clock when it answered
+  std::vector<run_ref> running;
+  std::vector<listed_end> ended;  // numbers above the look's `seen`
+};
+
+using keeper_event = std::variant<leased_worker_announced,
+                                  leased_worker_left,
+                                  run_start_answered,
+                                  run_stop_answered,
+                                  look_answered>;
+
+// ---- [3] Actions ------------------------------------------------------------
+
+struct call_run_start {
+  std::string life;
+  run_start start;
+  uint64_t fence = 0;
+  int64_t lease_until_ms = 0;  // on the worker's clock
+  int64_t timeout_ms = 0;
+};
+struct call_run_stop {
+  std::string life;
+  run_ref ref;
+  uint64_t fence = 0;
+  int64_t timeout_ms = 0;
+};
+// Asks what runs and what has ended, and extends the lease.
+struct call_look {
+  std::string life;
+  uint64_t fence = 0;
+  uint64_t seen = 0;            // ends up to this number are forgotten
+  int64_t lease_until_ms = 0;   // 0: the lease is not extended
+  int64_t wait_ms = 0;
+  int64_t timeout_ms = 0;
+};
+
+using keeper_action = std::variant<call_run_start, call_run_stop, call_look>;
+
+// ---- [4] State --------------------------------------------------------------
+
+enum class run_state : uint8_t { starting, running, stopping };
+
+struct kept_run {
+  run_start start;
+  incarnation owner;
+  run_state state = run_state::starting;
+  bool confirmed = false;  // the worker has said that it is there
+  bool stop_done = false;  // the worker has answered the stop
+  uint32_t tries = 0;      // starts sent
+  micros since{0};         // the order came
+  micros called{0};        // newest call
+  bool call_open = false;
+  uint64_t looks_at_change = 0;  // looks sent when it was confirmed or stopped
+};
+
+// What is kept of one entry incarnation.
+struct run_owner {
+  micros vouched_until{0};
+  uint64_t starts_seen = 0;  // of this stream
+  bool wants_room = false;
+  bool worker_told = false;  // on this stream
+  uint64_t next_end = 1;
+  std::deque<run_end> ends;  // unacknowledged
+  size_t ends_told = 0;      // of `ends`, on this stream
+  bool due = false;          // a report should go out now
+};
+
+struct keeper_state {
+  keeper_options options;
+  bool has_worker = false;
+  leased_worker_info worker;
+  uint64_t sequence = 0;  // newest announcement of this life
+  bool draining = false;
+  bool stopping = false;  // this process stops: nothing new starts
+  std::set<std::string> past_lives;
+  bool opened = false;  // nothing runs there that this process doesn't know
+  micros life_since{0};
+  micros opened_at{0};
+  uint64_t fence = 1;
+  uint64_t fence_step = 1 << 20;
+  uint64_t seen = 0;  // ends up to this number are taken
+  bool has_clock = false;
+  int64_t clock_ms = 0;  // the worker's clock ...
+  micros clock_at{0};    // ... at or before this moment
+  micros lease_over{0};  // no lease granted yet outlasts this
+  micros last_answer{0};
+  uint64_t looks_sent = 0;
+  uint64_t looks_open = 0;  // number of the look under way; 0: none
+  micros look_called{0};
+  micros stop_retry{0};
+  std::map<leased_task, kept_run> runs;
+  std::map<run_ref, micros> strays;  // runs there that nobody here ordered
+  room used;
+  std::map<incarnation, run_owner> owners;
+  room free_told;  // as last reported to those that wait for room
+  std::vector<keeper_action> actions;
+};
+
+// ---- [5] Calls --------------------------------------------------------------
+
+keeper_state MakeKeeper(keeper_options options);
+void TakeKeeperEvent(keeper_state& k, micros now, keeper_event event);
+void TakeOrders(keeper_state& k,
+                micros now,
+                incarnation owner,
+                lease_orders orders);
+void TickKeeper(keeper_state& k, micros now);
+
+bool TakesLeasedWork(const keeper_state& k, micros now);
+room FreeRoom(const keeper_state& k);
+
+// The report for one owner, with what it has not been told on this stream.
+lease_reports ReportFor(keeper_state& k, micros now, incarnation owner);
+void ForgetOwner(keeper_state& k, incarnation owner);  // it said goodbye
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_LEASE_KEEPER_H_
--- /dev/null
+++ b/include/cassiaferry/leased_jobs.h
@@ -0,0 +1,186 @@
+// Jobs whose tasks run under leases: an entry's side.
+//
+// A caller names the job, and may send it again, to any entry, after an answer
+// that leaves open what became of it. A task that failed or was lost runs again,
+// up to a bound; two runs of a task never overlap.
+//
+// Contents
+//   [1] Jobs as callers send them
+//   [2] Events and actions
+//   [3] Tables
+//   [4] State
+//   [5] Calls
+
+#ifndef CASSIAFERRY_LEASED_JOBS_H_
+#define CASSIAFERRY_LEASED_JOBS_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "cassiaferry/config.h"
+#include "cassiaferry/ids.h"
+#include "cassiaferry/leases.h"
+#include "cassiaferry/verdict.h"
+
+namespace cassiaferry {
+
+// ---- [1] Jobs as callers send them ------------------------------------------
+
+struct leased_step {
+  uint32_t count = 1;          // tasks
+  room need;                   // of each task
+  int64_t expected_ms = 0;     // declared, often wrong; 0: none
+  std::vector<uint32_t> after;  // earlier steps that must be done first
+  std::string label;           // that the worker must have; empty: any
+  uint32_t most_per_worker = 0;  // tasks of the step on one worker; 0: any
+};
+
+struct leased_job_request {
+  std::string id;     // the caller's
+  std::string queue;  // of the configuration
+  std::string payload;
+  std::vector<leased_step> steps;
+  int64_t wait_ms = 0;  // the caller waits so long; 0: no bound
+  bool durable = false;  // accepted means stored: asked for, not done yet
+};
+
+// ---- [2] Events and actions -------------------------------------------------
+
+struct leased_job_submitted {
+  ticket_id ticket;
+  leased_job_request request;
+};
+
+enum class leased_outcome : uint8_t { completed, failed, cancelled, refused };
+
+struct answer_leased_job {
+  ticket_id ticket;
+  leased_outcome outcome = leased_outcome::completed;
+  failure why;  // of a refusal
+};
+
+// One decision, for the log. Empty members are left out.
+struct leased_decision {
+  const char* what = "";  // "job accepted", "run placed", ...
+  std::string job;
+  std::string detail;  // the inputs that decided it
+};
+
+// ---- [3] Tables -------------------------------------------------------------
+
+using leased_seq = strong_id<struct leased_seq_tag, uint64_t>;
+
+enum class leased_task_state : uint8_t { blocked, waiting, placed, done };
+
+struct leased_task_row {
+  leased_task task;
+  leased_task_state state = leased_task_state::blocked;
+  uint32_t run = 0;     // newest
+  uint32_t failed = 0;  // runs that ended as failed
+  worker_id worker;     // while placed
+  micros placed_at{0};
+};
+
+struct leased_job {
+  leased_seq seq;
+  std::string id;
+  queue_config queue;  // a copy: a change of configuration leaves the job as it is
+  std::string payload;
+  std::vector<leased_step> steps;
+  std::vector<uint32_t> step_left;  // tasks of each step not done
+  std::vector<leased_task_row> tasks;
+  std::vector<uint32_t> waiting;  // indices into `tasks`
+  std::vector<ticket_id> tickets;  // callers that wait for the answer
+  micros arrival{0};
+  micros deadline{0};      // callers wait no longer; 0: no bound
+  micros late_from{0};     // done later than this, it is late
+  micros worthless_from{0};  // ... and later than this, of no use
+  micros expected{0};      // its longest chain of work
+  uint32_t placed = 0;
+  uint32_t done = 0;
+  bool started = false;  // a run was ordered: it can't be refused any more
+  bool queued = false;   // stands in the waiting table under `order`
+  int64_t order = 0;
+};
+
+// What this entry knows of the worker behind a sidecar.
+struct leased_worker {
+  bool known = false;
+  leased_worker_info info;
+  bool takes_work = false;
+  room free;                 // as reported
+  int64_t stamp = 0;         // of the newest report, on the sidecar's clock
+  micros heard{0};           // when it came
+  uint64_t starts_sent = 0;  // on this stream
+  std::deque<std::pair<uint64_t, room>> in_flight;  // starts not yet reported
+  room in_flight_room;
+  uint64_t acked_end = 0;
+  std::map<run_ref, leased_seq> open;  // ordered, no end heard
+  // Runs ordered of a sidecar life that is gone; over at the given time.
+  std::vector<std::pair<micros, std::vector<run_ref>>> orphaned;
+  double slowness = 1;      // run time against the expected, against all workers
+  uint32_t samples = 0;
+  double failing = 0;       // share of recent runs that failed, decayed
+  micros avoid_until{0};    // refused or failed much: others first
+};
+
+// What is learnt of a queue's jobs.
+struct queue_estimate {
+  double ratio = 1;  // run time against what jobs declare, decayed
+};
+
+// ---- [4] State --------------------------------------------------------------
+
+struct leased_options {
+  lease_bounds bounds;
+  bool enabled = false;
+  micros pause = Millis(350);  // between ticks: then this process was frozen
+  micros settle = Millis(60);  // after a pause nothing starts for so long
+  micros drain_accept{0};      // a stopping entry takes jobs for so long, as
+                               // callers stay on their open connections
+  micros drain_close{0};       // ... and then has this long to end them
+};
+
+struct leased_counters {
+  uint64_t jobs_received = 0;
+  uint64_t jobs_completed = 0;
+  uint64_t jobs_failed = 0;
+  uint64_t jobs_cancelled = 0;
+  uint64_t jobs_refused = 0;
+  uint64_t runs_ordered = 0;
+  uint64_t runs_ended[6] = {};  // by run_end_kind
+};
+
+struct leased_state {
+  leased_options options;
+  uint64_t next_job = 1;
+  std::unordered_map<leased_seq, leased_job> jobs;
+  std::unordered_map<std::string, leased_seq> ids;
+  std::unordered_map<ticket_id, leased_seq> tickets;
+  std::set<std::pair<int64_t, leased_seq>> waiting;  // by order
+  std::set<std::pair<micros, leased_seq>> deadlines;
+  std::vector<leased_worker> workers;  // by worker_id
+  std::map<std::string, queue_estimate> estimates;  // by queue
+  micros last_tick{0};
+  micros settle_until{0};
+  leased_counters counters;
+};
+
+// ---- [5] Calls --------------------------------------------------------------
+
+// What a caller may ask of a job. Empty: not known to this entry.
+std::optional<const char*> LeasedJobState(const leased_state& s,
+                                          const std::string& id);
+
+// Accepted jobs of the queue none of whose tasks has started.
+size_t LeasedJobsWaiting(const leased_state& s, const std::string& queue);
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_LEASED_JOBS_H_
--- /dev/null
+++ b/include/cassiaferry/leases.h
@@ -0,0 +1,155 @@
+// Records of leased runs, as an entry and a sidecar exchange them.
+//
+// A leased task runs on a worker only while its owner vouches for it: the
+// sidecar keeps a short lease on the worker, and stops what an owner has not
+// vouched for in time. So a run that nobody answers for ends by itself within a
+// known bound, after which its task may start elsewhere (docs/DESIGN.md works
+// the bound out).
+//
+// Contents
+//   [1] Room
+//   [2] Tasks and runs
+//   [3] Entry to sidecar
+//   [4] Sidecar to entry
+//   [5] Bounds
+
+#ifndef CASSIAFERRY_LEASES_H_
+#define CASSIAFERRY_LEASES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cassiaferry/ids.h"
+
+namespace cassiaferry {
+
+// ---- [1] Room ---------------------------------------------------------------
+
+// What a task needs, or a worker has.
+struct room {
+  int64_t cpu = 0;        // thousandths of a core
+  int64_t memory_mb = 0;  // MiB
+  int64_t gpus = 0;
+  bool operator==(const room&) const = default;
+};
+
+constexpr room operator+(const room& a, const room& b) {
+  return {a.cpu + b.cpu, a.memory_mb + b.memory_mb, a.gpus + b.gpus};
+}
+constexpr room operator-(const room& a, const room& b) {
+  return {a.cpu - b.cpu, a.memory_mb - b.memory_mb, a.gpus - b.gpus};
+}
+constexpr bool Fits(const room& need, const room& free) {
+  return need.cpu <= free.cpu && need.memory_mb <= free.memory_mb &&
+         need.gpus <= free.gpus;
+}
+
+// ---- [2] Tasks and runs -----------------------------------------------------
+
+// Names a leased task, the same at every entry.
+struct leased_task {
+  std::string job;          // the caller's id of the job
+  uint32_t occurrence = 0;  // of a repeated job
+  uint32_t step = 0;
+  uint32_t index = 0;
+  auto operator<=>(const leased_task&) const = default;
+};
+
+// One start of a task. Runs of a task are numbered upwards: a worker refuses a
+// run that is not above every run it has stopped or ended.
+struct run_ref {
+  leased_task task;
+  uint32_t run = 0;
+  auto operator<=>(const run_ref&) const = default;
+};
+
+enum class run_end_kind : uint8_t {
+  done,
+  failed,         // the task or its worker's fault
+  stopped,        // ordered, or nobody vouched for it
+  lost,           // the worker or its lease is gone with it
+  never_started,  // refused, and will never start
+  superseded,     // refused: its number is not above an earlier run's there
+};
+
+const char* ToText(run_end_kind kind);
+
+// ---- [3] Entry to sidecar ---------------------------------------------------
+
+struct run_start {
+  run_ref ref;
+  room need;
+  std::string payload;
+};
+
+struct lease_orders {
+  int64_t echo = 0;  // newest stamp seen of the sidecar; vouches until then plus
+                     // the vouch bound, on the sidecar's clock
+  std::vector<run_start> starts;
+  std::vector<run_ref> stops;
+  uint64_t acked_end = 0;   // ends up to this number may be forgotten
+  bool wants_room = false;  // tasks wait: tell of freed room at once
+  bool is_first = false;    // of a stream: `known` is complete
+  std::vector<run_ref> known;  // runs ordered of this sidecar life, not ended
+};
+
+// ---- [4] Sidecar to entry ---------------------------------------------------
+
+struct run_end {
+  uint64_t number = 0;  // grows per entry; acknowledged cumulatively
+  run_ref ref;
+  run_end_kind how = run_end_kind::done;
+  uint32_t run_ms = 0;  // from the order to the end
+};
+
+// The worker beside the sidecar, as it announced itself.
+struct leased_worker_info {
+  std::string life;  // a new one with each start of the worker
+  std::string upstream;
+  room capacity;
+  std::vector<std::string> labels;
+  bool operator==(const leased_worker_info&) const = default;
+};
+
+struct lease_reports {
+  int64_t stamp = 0;         // the sidecar's clock, microseconds
+  uint64_t starts_seen = 0;  // of this stream
+  bool takes_work = false;
+  room free;
+  std::optional<leased_worker_info> worker;  // on change, and first of a stream
+  std::vector<run_end> ends;
+};
+
+// ---- [5] Bounds -------------------------------------------------------------
+
+// How long each party believes another. One set for all processes of a system.
+struct lease_bounds {
+  micros lease = Millis(700);  // of a worker, from each extension
+  micros vouch = Millis(400);  // of an owner, from the stamp it echoes
+  micros margin = Millis(50);  // timers fire late, and a stop takes this long
+};
+
+// Clocks of workers may run slow by 2%, as the platform states.
+constexpr int64_t kClockDriftPercent = 2;
+
+// A lease granted now has lapsed by any clock after this.
+constexpr micros LapsedAfter(const lease_bounds& bounds) {
+  return micros{bounds.lease.value * 100 / (100 - kClockDriftPercent)};
+}
+
+// After the last word from a sidecar, its runs of this entry are over: the
+// entry's vouch has run out, and then, should the sidecar be frozen, the lease.
+constexpr micros OverAfter(const lease_bounds& bounds) {
+  return bounds.vouch + LapsedAfter(bounds) + bounds.margin;
+}
+
+// Bounds that fit what the platform allows. `lease_max`: the longest lease a
+// worker accepts. `resend_after`: a caller that got no answer sends again, to
+// any entry, after this: by then whatever the first entry ran must be over.
+lease_bounds BoundsFor(micros lease_max, micros resend_after);
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_LEASES_H_
--- a/include/cassiaferry/messages.h
+++ b/include/cassiaferry/messages.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "cassiaferry/ids.h"
+#include "cassiaferry/leases.h"
 #include "cassiaferry/verdict.h"
 
 namespace cassiaferry {
@@ -76,6 +77,7 @@
       peers;               // addresses of entries to dial, with each heartbeat
   config_version version;  // newest configuration known
   std::optional<config_document> config;
+  std::optional<lease_orders> orders;  // of leased runs
 };
 
 // ---- [3] Sidecar to entry ---------------------------------------------------
@@ -162,6 +164,7 @@
       false;  // the sidecar stops; nothing of this entry is left on it
   config_version version;
   std::optional<config_document> config;
+  std::optional<lease_reports> reports;  // of leased runs
 };
 
 // ---- [4] Counting records ---------------------------------------------------
--- a/include/cassiaferry/sidecar.h
+++ b/include/cassiaferry/sidecar.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "cassiaferry/ids.h"
+#include "cassiaferry/lease_keeper.h"
 #include "cassiaferry/messages.h"
 #include "cassiaferry/metrics.h"
 
@@ -48,6 +49,8 @@
                                            // much earlier to get a freed slot
   size_t max_results_bytes = 32 << 20;     // unacknowledged, for one entry
   size_t max_queued = 20'000;              // tasks and probes queued here
+  bool keeps_leases = false;               // its worker runs tasks under leases
+  keeper_options keeper;
 };
 
 // ---- [2] Events -------------------------------------------------------------
@@ -72,13 +75,18 @@
   std::string output;
 };
 struct drain_requested {};
+struct entries_found {  // addresses of entries, from the platform
+  std::vector<std::string> addresses;
+};
 
 using sidecar_event = std::variant<link_frame_received,
                                    link_lost,
                                    upstream_announced,
                                    upstream_left,
                                    task_finished,
-                                   drain_requested>;
+                                   drain_requested,
+                                   entries_found,
+                                   keeper_event>;
 
 // ---- [3] Actions ------------------------------------------------------------
 
@@ -107,8 +115,13 @@
 };
 struct drained {};  // nothing is left: the process may exit
 
-using sidecar_action = std::
-    variant<dial_entry, hang_up, send_to_entry, run_task, stop_task, drained>;
+using sidecar_action = std::variant<dial_entry,
+                                    hang_up,
+                                    send_to_entry,
+                                    run_task,
+                                    stop_task,
+                                    drained,
+                                    keeper_action>;
 
 // ---- [4] State --------------------------------------------------------------
 
@@ -172,6 +185,7 @@
   sidecar_options options;
   std::mt19937_64 random;
   bool draining = false;
+  micros drain_since{0};
   upstream_info upstream;
   upstream_state state = upstream_state::absent;
   micros last_announced{0};
@@ -183,6 +197,7 @@
       queue;  // by order, then arrival
   uint64_t next_queued = 0;
   config_document config;
+  keeper_state keeper;
   counters metrics;
   std::vector<sidecar_action> actions;  // of the tick in progress
 };
--- a/include/cassiaferry/verdict.h
+++ b/include/cassiaferry/verdict.h
@@ -59,6 +59,7 @@
   cancelled,             // 499  the caller closed its connection
   unauthorized,          // 401
   forbidden,             // 403
+  not_supported,         // 501  asks for what this version does not do
   count_,
 };
 
--- a/src/apps/entry_app.cc
+++ b/src/apps/entry_app.cc
@@ -30,6 +30,18 @@
   o.failure_domain = settings.failure_domain;
   o.self = incarnation{RandomSeed()};
   o.seed = RandomSeed();
+  if (settings.callers.empty())
+    return o;
+  o.leased.enabled = true;
+  o.leased.bounds = BoundsFor(Millis(settings.lease_max_ms),
+                              Millis(settings.resend_after_ms));
+  // Owners are vouched for by frames: several fit into the bound.
+  o.heartbeat = micros{o.leased.bounds.vouch.value / 3};
+  o.silence = o.leased.bounds.vouch;
+  // Half of the time to stop is for callers to move on, and nearly all of the
+  // rest for what runs.
+  o.leased.drain_accept = Millis(settings.stop_grace_ms / 2);
+  o.leased.drain_close = Millis(settings.stop_grace_ms * 2 / 5);
   return o;
 }
 
@@ -78,6 +90,8 @@
   state_.options.link_address = settings_.advertise_link;
   state_.options.http_address = settings_.advertise_http;
   state_.claims.self_address = settings_.advertise_http;
+  if (HasLeasedJobs())
+    StartLeased();
   LOG(INFO) << kPrefix << "serving callers on " << http << ", sidecars on "
             << link << ", as " << settings_.name;
   outgoing_thread_ = std::thread([this] {
@@ -87,7 +101,7 @@
     });
   });
   background_ = std::thread([this] {
-    while (!stopped_) {
+    while (!stopped_ && !HasLeasedJobs()) {
       Background();
       for (auto waited = kStopPoll; waited < kBackgroundPeriod && !stopped_;
            waited += kStopPoll)
@@ -203,6 +217,8 @@
     AdoptDocument(adopted->document);
   } else if (auto* claim = std::get_if<claim_action>(&action)) {
     ActClaim(*claim);
+  } else {
+    ActLeased(action);
   }
 }
 
@@ -216,12 +232,16 @@
     return false;
   if (drained_at_.value == 0)
     drained_at_ = Now();
-  return Now() - drained_at_ > kLingerAfterDrain && http_->Pending() == 0;
+  const size_t pending =
+      http_->Pending() + (callers_ ? callers_->Pending() : 0);
+  return Now() - drained_at_ > kLingerAfterDrain && pending == 0;
 }
 
 void entry_app::Run() {
   loop_.Run(kIdleTick, [this](std::vector<entry_event> events) {
     events.push_back(wall_clock{WallMillis()});
+    if (HasLeasedJobs())
+      TickLeased();
     std::vector<entry_action> actions = Tick(state_, Now(), std::move(events));
     for (entry_action& action : actions) {
       drained_ = drained_ || std::holds_alternative<entry_drained>(action);
@@ -233,6 +253,10 @@
   stopped_ = true;
   background_.join();
   links_->Finish();
+  if (callers_)
+    callers_->Stop();
+  if (ready_server_)
+    ready_server_->Stop();
   http_->Stop();
   outgoing_.Stop();
   outgoing_thread_.join();
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -21,6 +21,7 @@
 #include "../net/http_server.h"
 #include "../net/link_server.h"
 #include "../net/platform_client.h"
+#include "../net/row_watch.h"
 #include "cassiaferry/entry.h"
 
 namespace cassiaferry {
@@ -39,6 +40,14 @@
   size_t max_body_bytes = 2 << 20;
   size_t max_connections = 512;
   size_t traffic_threads = 2;
+  // Leased jobs, on a platform with a store of rows.
+  std::string callers;  // ip:port where the platform's callers arrive; empty:
+                        // this entry takes no leased jobs
+  std::string ready;    // ip:port where the platform asks for readiness
+  std::string store;    // ip:port of the store
+  int64_t lease_max_ms = 1000;     // longest lease that workers accept
+  int64_t resend_after_ms = 1300;  // callers send again after this
+  int64_t stop_grace_ms = 6000;    // from the stop signal to the end
 };
 
 // What a peer says of itself, and what it knows.
@@ -69,6 +78,18 @@
   void ReplyJson(ticket_id ticket, int status, const nlohmann::json& body);
   void ReplyReady(ticket_id ticket);
 
+  // Leased jobs (entry_leased.cc).
+  bool HasLeasedJobs() const { return !settings_.callers.empty(); }
+  void StartLeased();
+  void TickLeased();  // on the control thread, before each tick
+  void OnCall(const http_request& r);
+  void TakeCall(const http_request& r);  // on the control thread
+  void SubmitCall(const http_request& r, const queue_config& queue);
+  void TakeConfigRow(const stored_row& row);
+  void PublishAddress();
+  void LogDecision(const leased_decision& decision);
+  void ActLeased(entry_action& action);  // on the outgoing thread
+
   // Configuration and peers (entry_platform.cc).
   void PutConfig(const http_request& r);
   void PutConfigObject(ticket_id ticket, const config_document& document);
@@ -115,6 +136,14 @@
   platform_client platform_;
   std::unique_ptr<link_server> links_;
   std::unique_ptr<http_server> http_;
+  std::unique_ptr<http_server> callers_;
+  std::unique_ptr<http_server> ready_server_;
+  row_store store_;
+  std::unique_ptr<row_watch> config_watch_;  // control thread only
+  bool store_connected_ = false;             // control thread only
+  bool address_published_ = false;           // control thread only
+  bool publishing_ = false;                  // control thread only
+  micros next_publish_{0};                   // control thread only
   std::thread outgoing_thread_;
   std::thread background_;
   std::atomic<bool> stopped_{false};
--- /dev/null
+++ b/src/apps/entry_leased.cc
@@ -0,0 +1,196 @@
+// Leased jobs of cassiaferry-entry: callers of the platform, its store, and the
+// log of decisions.
+//
+// Contents
+//   [1] Start
+//   [2] Callers
+//   [3] Store
+//   [4] Answers and log
+
+#include <nlohmann/json.hpp>
+
+#include "../../platform/callers.h"
+#include "../../platform/operator_config.h"
+#include "../../platform/store.h"
+#include "app.h"
+#include "entry_app.h"
+#include "event_log.h"
+
+namespace cassiaferry {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr char kPart[] = "entry";
+constexpr char kPrefix[] = "entry: ";
+// Tickets of callers' requests, apart from those of the product's own server.
+constexpr uint64_t kFirstCallerTicket = uint64_t{1} << 40;
+constexpr uint64_t kFirstReadyTicket = uint64_t{1} << 41;
+constexpr char kDirectoryTable[] = "entries";
+// A change must be in force everywhere within 2 s of its writing; a feed that
+// was cut is given up after this and half a second more.
+constexpr int64_t kConfigFeedWaitMs = 1000;
+constexpr micros kPublishRetry = Millis(300);
+constexpr size_t kLeasedBodyBytes = 1 << 20;
+
+}  // namespace
+
+// ---- [1] Start --------------------------------------------------------------
+
+void entry_app::StartLeased() {
+  http_server_options options;
+  options.address = settings_.callers;
+  options.threads = 1;
+  options.max_body_bytes = kLeasedBodyBytes;
+  options.hard_body_bytes = kLeasedBodyBytes * 4;
+  options.max_connections = settings_.max_connections;
+  options.read_timeout = std::chrono::seconds(60);  // idle callers stay
+  options.keep_headers = platform::CallerHeaders();
+  options.first_ticket = kFirstCallerTicket;
+  callers_ = std::make_unique<http_server>(
+      options, [this](const http_request& r) { OnCall(r); },
+      [this](ticket_id ticket) { loop_.Post(caller_gone{ticket}); });
+  StartOrDie(*callers_, kPrefix);
+  http_server_options ready;
+  ready.address = settings_.ready;
+  ready.threads = 1;
+  ready.first_ticket = kFirstReadyTicket;
+  ready_server_ = std::make_unique<http_server>(
+      ready,
+      [this](const http_request& r) {
+        http_response response;
+        response.status = ready_ ? 200 : 503;
+        ready_server_->Answer(r.ticket, response);
+      },
+      [](ticket_id) {});
+  StartOrDie(*ready_server_, kPrefix);
+  store_ = platform::MakeRowStore(http_client_, settings_.store);
+  row_watch_options watch;
+  watch.table = platform::kOperatorTable;
+  watch.feed_wait_ms = kConfigFeedWaitMs;
+  config_watch_ = std::make_unique<row_watch>(
+      store_, watch,
+      [this](std::function<void()> f) { loop_.Call(std::move(f)); },
+      [this](const stored_row& row) { TakeConfigRow(row); });
+  LogEvent(kPart, "start",
+           {{"entry", settings_.name},
+            {"incarnation", ToHex(state_.options.self.value)},
+            {"lease_ms", ToMillis(state_.options.leased.bounds.lease)},
+            {"vouch_ms", ToMillis(state_.options.leased.bounds.vouch)}});
+}
+
+// ---- [2] Callers ------------------------------------------------------------
+
+void entry_app::OnCall(const http_request& r) {
+  loop_.Call([this, r] { TakeCall(r); });
+}
+
+void entry_app::TakeCall(const http_request& r) {
+  if (state_.document.version.value == 0) {
+    callers_->Answer(r.ticket, platform::NoConfigResponse());
+    return;
+  }
+  const queue_config* queue = MatchQueue(state_.config, r.host, r.path);
+  if (queue == nullptr) {
+    callers_->Answer(r.ticket, platform::NoQueueResponse());
+    return;
+  }
+  const platform::caller_call call = platform::ReadCall(r, *queue);
+  switch (call.verb) {
+    case platform::caller_verb::submit:
+      SubmitCall(r, *queue);
+      return;
+    case platform::caller_verb::cancel:
+      loop_.Post(leased_job_cancelled{r.ticket, call.job_id});
+      return;
+    case platform::caller_verb::state:
+      callers_->Answer(
+          r.ticket, platform::StateResponse(
+                        LeasedJobState(state_.leased, call.job_id)
+                            .value_or(nullptr)));
+      return;
+    case platform::caller_verb::count:
+      callers_->Answer(r.ticket, platform::CountResponse(LeasedJobsWaiting(
+                                     state_.leased, queue->name)));
+      return;
+    case platform::caller_verb::unknown:
+      callers_->Answer(r.ticket,
+                       platform::BadRequestResponse("no such call here"));
+      return;
+  }
+}
+
+void entry_app::SubmitCall(const http_request& r, const queue_config& queue) {
+  leased_job_submitted event;
+  event.ticket = r.ticket;
+  std::string error;
+  if (!platform::ReadJob(r, event.request, error)) {
+    callers_->Answer(r.ticket, platform::BadRequestResponse(error));
+    return;
+  }
+  event.request.id = platform::ReadCall(r, queue).job_id;
+  event.request.queue = queue.name;
+  loop_.Post(std::move(event));
+}
+
+// ---- [3] Store --------------------------------------------------------------
+
+void entry_app::TakeConfigRow(const stored_row& row) {
+  if (row.key != platform::kConfigKey || row.deleted)
+    return;
+  std::string error;
+  const std::optional<config_document> document =
+      platform::ReadOperatorConfig(row.value, error);
+  if (!document) {
+    LogEvent(kPart, "configuration unreadable",
+             {{"row_version", row.version}, {"error", error}});
+    return;
+  }
+  loop_.Post(config_received{*document});
+}
+
+// Sidecars find entries by these rows.
+void entry_app::PublishAddress() {
+  publishing_ = true;
+  const json value = {{"link", settings_.advertise_link}};
+  store_.put({kDirectoryTable, settings_.name, value.dump()},
+             [this](const rows_reply& reply) {
+               loop_.Call([this, ok = reply.status == store_status::ok] {
+                 publishing_ = false;
+                 address_published_ = ok;
+                 next_publish_ = Now() + kPublishRetry;
+               });
+             });
+}
+
+void entry_app::TickLeased() {
+  const micros now = Now();
+  config_watch_->Tick(now);
+  if (!address_published_ && !publishing_ && now >= next_publish_)
+    PublishAddress();
+  const bool connected =
+      config_watch_->IsLoaded() && config_watch_->IsConnected();
+  if (connected != store_connected_)
+    LogEvent(kPart, connected ? "store reached" : "store lost", {});
+  store_connected_ = connected;
+  ready_ = IsReady(state_) && !draining_;
+}
+
+// ---- [4] Answers and log ----------------------------------------------------
+
+void entry_app::LogDecision(const leased_decision& d) {
+  LogEvent(kPart, d.what, {{"job", d.job}, {"why", d.detail}});
+}
+
+void entry_app::ActLeased(entry_action& action) {
+  if (auto* answer = std::get_if<answer_leased_job>(&action))
+    callers_->Answer(answer->ticket, platform::OutcomeResponse(*answer));
+  else if (auto* cancelled = std::get_if<answer_cancelled>(&action))
+    callers_->Answer(cancelled->ticket,
+                     platform::CancelResponse(cancelled->known));
+  else if (auto* decision = std::get_if<leased_decision>(&action))
+    LogDecision(*decision);
+}
+
+}  // namespace cassiaferry
--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -27,10 +27,16 @@
     {"advertise_link", field_kind::text, 3, 64},
     {"platform", field_kind::text, 3, 64},
     {"peers", field_kind::array, 0, 1000},
-    {"admin_token", field_kind::text, 8, 256, true},
+    {"admin_token", field_kind::text, 8, 256},
     {"max_body_bytes", field_kind::integer, 1024, 64 << 20},
     {"max_connections", field_kind::integer, 1, 100'000},
     {"traffic_threads", field_kind::integer, 1, 64},
+    {"callers", field_kind::text, 3, 64},
+    {"ready", field_kind::text, 3, 64},
+    {"store", field_kind::text, 3, 64},
+    {"lease_max_ms", field_kind::integer, 100, 600'000},
+    {"resend_after_ms", field_kind::integer, 300, 600'000},
+    {"stop_grace_ms", field_kind::integer, 100, 600'000},
 };
 
 void CheckAddress(const nlohmann::json& value, const std::string& path) {
@@ -47,8 +53,8 @@
     j["http"] = FLAGS_http;
   if (!FLAGS_link.empty())
     j["link"] = FLAGS_link;
-  for (const char* name :
-       {"http", "link", "advertise_http", "advertise_link", "platform"}) {
+  for (const char* name : {"http", "link", "advertise_http", "advertise_link",
+                           "platform", "callers", "ready", "store"}) {
     if (j.contains(name))
       CheckAddress(j[name], std::string("/") + name);
   }
@@ -64,7 +70,18 @@
     CheckAddress(peer, "/peers");
     s.peers.push_back(peer);
   }
-  s.admin_token = j["admin_token"];
+  s.admin_token = j.value("admin_token", "");
+  s.callers = j.value("callers", "");
+  s.ready = j.value("ready", "");
+  s.store = j.value("store", "");
+  if (!s.callers.empty() && (s.ready.empty() || s.store.empty()))
+    Die(kExitBadInput,
+        FLAGS_settings + ": /callers: needs \"ready\" and \"store\" too");
+  if (s.callers.empty() && s.admin_token.empty())
+    Die(kExitBadInput, FLAGS_settings + ": /admin_token: is missing");
+  s.lease_max_ms = j.value("lease_max_ms", s.lease_max_ms);
+  s.resend_after_ms = j.value("resend_after_ms", s.resend_after_ms);
+  s.stop_grace_ms = j.value("stop_grace_ms", s.stop_grace_ms);
   s.max_body_bytes = j.value("max_body_bytes", s.max_body_bytes);
   s.max_connections = j.value("max_connections", s.max_connections);
   s.traffic_threads = j.value("traffic_threads", s.traffic_threads);
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -13,12 +13,16 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "../../platform/store.h"
+#include "../../platform/worker.h"
 #include "../net/control_loop.h"
 #include "../net/http_client.h"
 #include "../net/http_server.h"
 #include "../net/link_client.h"
+#include "../net/row_watch.h"
 #include "app.h"
 #include "cassiaferry/sidecar.h"
+#include "event_log.h"
 
 DEFINE_string(settings, "", "settings file (JSON); see docs/OPERATIONS.md");
 DEFINE_string(http,
@@ -39,8 +43,13 @@
     {"name", field_kind::text, 1, 128, true},
     {"failure_domain", field_kind::text, 1, 128, true},
     {"http", field_kind::text, 3, 64, true},
-    {"seeds", field_kind::array, 1, 1000, true},
+    {"seeds", field_kind::array, 0, 1000, true},
     {"keep_slot_margin_ms", field_kind::integer, 0, 600'000},
+    {"worker", field_kind::text, 3, 64},
+    {"store", field_kind::text, 3, 64},
+    {"lease_max_ms", field_kind::integer, 100, 600'000},
+    {"resend_after_ms", field_kind::integer, 300, 600'000},
+    {"stop_grace_ms", field_kind::integer, 100, 600'000},
 };
 
 const std::vector<field_rule> kAnnouncementRules = {
@@ -51,8 +60,31 @@
     {"memory_mb", field_kind::integer, 1, 100'000'000},
 };
 
+constexpr char kDirectoryTable[] = "entries";
+// To the one worker, on kept connections: a look, and orders beside it.
+constexpr long kWorkerConnections = 6;
+constexpr int64_t kDirectoryFeedWaitMs = 10'000;
+
+void ReadLeaseOptions(const json& settings, sidecar_options& o) {
+  if (!settings.contains("worker"))
+    return;
+  o.keeps_leases = true;
+  o.keeper.bounds =
+      BoundsFor(Millis(settings.value("lease_max_ms", int64_t{1000})),
+                Millis(settings.value("resend_after_ms", int64_t{1300})));
+  // A later process has a later base. Should the clock have gone back, the
+  // worker's refusals raise the fence.
+  o.keeper.first_fence = static_cast<uint64_t>(WallMillis());
+  o.heartbeat = micros{o.keeper.bounds.vouch.value / 3};
+  o.silence = o.keeper.bounds.vouch;
+  o.redial = Millis(100);
+  o.drain_grace =
+      Millis(settings.value("stop_grace_ms", int64_t{6000}) * 3 / 5);
+}
+
 sidecar_options ReadOptions(const json& settings) {
   sidecar_options o;
+  ReadLeaseOptions(settings, o);
   o.name = settings["name"];
   o.failure_domain = settings["failure_domain"];
   o.self = incarnation{RandomSeed()};
@@ -91,11 +123,18 @@
   void Act(sidecar_action& action);
   void RunTask(const run_task& run);
   void StopTask(const stop_task& stop);
+  bool TakeAnnouncement(const http_request& request);
+  void CallWorker(const keeper_action& action);
+  void WatchDirectory(const std::string& store);
+  void TakeDirectoryRow(const stored_row& row);
 
   sidecar_state state_;
   control_loop<sidecar_event> loop_;
   http_client http_;
+  http_client worker_http_{kWorkerConnections};
+  std::string worker_address_;
   link_client links_;
+  std::unique_ptr<row_watch> directory_;  // control thread only
   std::unique_ptr<http_server> server_;
   std::map<task_key, uint64_t> calls_;  // control thread only
   bool drained_ = false;
@@ -112,6 +151,9 @@
           }) {}
 
 void sidecar_app::Start(const json& settings) {
+  worker_address_ = settings.value("worker", "");
+  if (settings.contains("store"))
+    WatchDirectory(settings["store"]);
   http_server_options options;
   options.address =
       FLAGS_http.empty() ? settings["http"].get<std::string>() : FLAGS_http;
@@ -123,6 +165,9 @@
   LOG(INFO) << kPrefix << "serving on " << address << " as "
             << state_.options.name;
   PrintReady({{"http", address}, {"pid", getpid()}});
+  LogEvent("sidecar", "start",
+           {{"sidecar", state_.options.name},
+            {"incarnation", ToHex(state_.options.self.value)}});
 }
 
 // ---- [2] HTTP ---------------------------------------------------------------
@@ -206,7 +251,21 @@
   });
 }
 
+bool sidecar_app::TakeAnnouncement(const http_request& r) {
+  std::string error;
+  const auto event = platform::ReadAnnouncement(r, error);
+  if (!event && error.empty())
+    return false;
+  if (event)
+    loop_.Post(*event);
+  Reply(r.ticket, event ? 200 : 400,
+        event ? std::string("{}") : ErrorBody(error));
+  return true;
+}
+
 void sidecar_app::OnRequest(const http_request& r) {
+  if (state_.options.keeps_leases && TakeAnnouncement(r))
+    return;
   constexpr std::string_view kUpstreams = "/v1/upstreams/";
   const bool is_upstream =
       r.path.starts_with(kUpstreams) && r.path.size() > kUpstreams.size();
@@ -271,6 +330,28 @@
   calls_.erase(it);
 }
 
+void sidecar_app::CallWorker(const keeper_action& action) {
+  platform::CallWorker(worker_http_, worker_address_, action,
+                       [this](keeper_event e) { loop_.Post(std::move(e)); });
+}
+
+void sidecar_app::TakeDirectoryRow(const stored_row& row) {
+  const json j = json::parse(row.value, nullptr, false);
+  if (row.deleted || !j.is_object())
+    return;
+  loop_.Post(entries_found{{j.value("link", "")}});
+}
+
+void sidecar_app::WatchDirectory(const std::string& store) {
+  row_watch_options options;
+  options.table = kDirectoryTable;
+  options.feed_wait_ms = kDirectoryFeedWaitMs;
+  directory_ = std::make_unique<row_watch>(
+      platform::MakeRowStore(http_, store), options,
+      [this](std::function<void()> f) { loop_.Call(std::move(f)); },
+      [this](const stored_row& row) { TakeDirectoryRow(row); });
+}
+
 void sidecar_app::Act(sidecar_action& action) {
   if (auto* send = std::get_if<send_to_entry>(&action))
     links_.Send(send->link, send->frame);
@@ -282,6 +363,8 @@
     links_.Dial(dial->link, dial->address, dial->epoch);
   else if (auto* hang = std::get_if<hang_up>(&action))
     links_.HangUp(hang->link, hang->epoch);
+  else if (auto* call = std::get_if<keeper_action>(&action))
+    CallWorker(*call);
   else
     drained_ = true;
 }
@@ -294,6 +377,8 @@
       if (const auto* done = std::get_if<task_finished>(&event))
         calls_.erase({done->entry, done->task});
     }
+    if (directory_)
+      directory_->Tick(Now());
     for (sidecar_action& action : Tick(state_, Now(), std::move(events)))
       Act(action);
     if (drained_)
@@ -301,6 +386,7 @@
   });
   links_.Finish();
   http_.Stop();
+  worker_http_.Stop();
   server_->Stop();
   LOG(INFO) << kPrefix << "stopped, with nothing left";
 }
--- a/src/core/config.cc
+++ b/src/core/config.cc
@@ -140,6 +140,7 @@
 const std::vector<field_rule> kTopRules = {
     {"teams", field_kind::object},
     {"upstreams", field_kind::object},
+    {"queues", field_kind::object},
     {"policies", field_kind::object},
     {"comparisons", field_kind::object},
     {"limits", field_kind::object},
@@ -153,6 +154,16 @@
 
 const std::vector<field_rule> kUpstreamRules = {};
 
+const std::vector<field_rule> kQueueRules = {
+    {"host", field_kind::text, 1, 256, true},
+    {"path_prefix", field_kind::text, 1, 1024, true},
+    {"upstream", field_kind::text, 1, 64, true},
+    {"priority", field_kind::integer, 0, 1000},
+    {"max_attempts", field_kind::integer, 1, 1000},
+    {"stretch", field_kind::number, 1, 1000},
+    {"allowance_ms", field_kind::integer, 0, 3'600'000},
+};
+
 const std::vector<field_rule> kPolicyRules = {
     {"kind", field_kind::text, 1, 64},
     {"order", field_kind::text, 1, 64},
@@ -261,6 +272,11 @@
     errors.push_back({"/default_policy", "is missing"});
   else if (!HasMember(document, "policies", document["default_policy"]))
     errors.push_back({"/default_policy", "names no policy"});
+  ForEachMember(document, "queues", check_scope::whole,
+                [&](const json& queue, const std::string& path) {
+                  if (!HasMember(document, "upstreams", queue["upstream"]))
+                    errors.push_back({path + "/upstream", "names no upstream"});
+                });
   ForEachMember(
       document, "comparisons", check_scope::whole,
       [&](const json& comparison, const std::string& path) {
@@ -314,6 +330,33 @@
   return c;
 }
 
+queue_config ReadQueue(const std::string& name, const json& j) {
+  queue_config q;
+  q.name = name;
+  q.host = j["host"];
+  q.path_prefix = j["path_prefix"];
+  q.upstream = j["upstream"];
+  q.priority = j.value("priority", q.priority);
+  q.max_attempts = j.value("max_attempts", q.max_attempts);
+  q.stretch = j.value("stretch", q.stretch);
+  q.allowance_ms = j.value("allowance_ms", q.allowance_ms);
+  return q;
+}
+
+// Longest prefix first, so that the first that matches is the one that counts.
+std::vector<queue_config> ReadQueues(const json& document) {
+  std::vector<queue_config> queues;
+  if (!document.contains("queues"))
+    return queues;
+  for (const auto& [name, j] : document["queues"].items())
+    queues.push_back(ReadQueue(name, j));
+  std::stable_sort(queues.begin(), queues.end(),
+                   [](const queue_config& a, const queue_config& b) {
+                     return a.path_prefix.size() > b.path_prefix.size();
+                   });
+  return queues;
+}
+
 limits_config ReadLimits(const json& j) {
   limits_config l;
   l.max_tasks_per_job = j.value("max_tasks_per_job", l.max_tasks_per_job);
@@ -348,6 +391,10 @@
                 [&](const json& j, const std::string& path) {
                   CheckObject(j, kUpstreamRules, path, errors);
                 });
+  ForEachMember(document, "queues", scope,
+                [&](const json& j, const std::string& path) {
+                  CheckObject(j, kQueueRules, path, errors);
+                });
   ForEachMember(document, "policies", scope,
                 [&](const json& j, const std::string& path) {
                   CheckObject(j, kPolicyRules, path, errors);
@@ -374,6 +421,7 @@
     c.upstreams.emplace(name, upstream_config{name});
   for (const auto& [name, j] : document["policies"].items())
     c.policies.push_back(ReadPolicy(name, j));
+  c.queues = ReadQueues(document);
   c.default_policy = document["default_policy"];
   if (document.contains("comparisons")) {
     for (const auto& [name, j] : document["comparisons"].items())
@@ -384,6 +432,16 @@
   return c;
 }
 
+const queue_config* MatchQueue(const configuration& config,
+                               std::string_view host,
+                               std::string_view path) {
+  for (const queue_config& queue : config.queues) {
+    if (queue.host == host && path.starts_with(queue.path_prefix))
+      return &queue;
+  }
+  return nullptr;
+}
+
 // ---- [5] Merging ------------------------------------------------------------
 
 namespace {
--- a/src/core/entry.cc
+++ b/src/core/entry.cc
@@ -36,7 +36,10 @@
 
   void operator()(job_submitted& e) { SubmitJob(s, now, std::move(e)); }
   void operator()(job_invalid& e) { RefuseInvalid(s, now, std::move(e)); }
-  void operator()(caller_gone& e) { DropCaller(s, now, e.ticket); }
+  void operator()(caller_gone& e) {
+    DropCaller(s, now, e.ticket);
+    DropLeasedCaller(s, now, e.ticket);
+  }
   void operator()(sidecar_frame_received& e) { TakeSidecarFrame(s, now, e); }
   void operator()(sidecar_link_lost& e) { LoseLink(s, now, e.link); }
   void operator()(config_received& e) { AdoptConfig(s, e.document); }
@@ -51,6 +54,13 @@
   void operator()(transaction_reply& e) { OnTransaction(s.claims, now, e); }
   void operator()(read_reply& e) { OnRead(s.claims, now, e); }
   void operator()(owner_reply& e) { OnOwner(s.claims, now, e); }
+  void operator()(leased_job_submitted& e) {
+    SubmitLeasedJob(s, now, std::move(e));
+  }
+  void operator()(leased_job_cancelled& e) {
+    const bool known = CancelLeasedJob(s, now, e.id);
+    s.actions.push_back(answer_cancelled{e.ticket, known});
+  }
 };
 
 // ---- [2] Draining -----------------------------------------------------------
@@ -62,7 +72,9 @@
 // can't be written. The stop would wait for ever; after the grace it goes on,
 // and a repeat of that job is told "may have run", as its owner is gone.
 void CheckDrained(entry_state& s, micros now) {
-  if (!s.draining || s.drained_said || !s.jobs.empty())
+  if (!s.draining || s.drained_said || !s.jobs.empty() ||
+      !s.leased.jobs.empty() ||
+      now - s.drain_since < s.options.leased.drain_accept)
     return;
   if (!ClaimsSettled(s.claims) && now - s.drain_since < s.options.drain_grace)
     return;
@@ -90,6 +102,7 @@
   s.random.seed(options.seed);
   s.claims.self = options.self;
   s.claims.self_address = options.http_address;
+  s.leased.options = options.leased;
   s.options = std::move(options);
   return s;
 }
@@ -106,6 +119,7 @@
   DecideClaims(s, now);
   TickClaims(s.claims, now, s.wall_ms);
   Dispatch(s, now);
+  TickLeasedJobs(s, now);
   TellBacklogs(s, now);
   const bool said_before = s.drained_said;
   CheckDrained(s, now);
--- a/src/core/entry_links.cc
+++ b/src/core/entry_links.cc
@@ -86,6 +86,7 @@
   w.reserved = 0;
   w.told = kNoBacklog;
   ForgetProbes(s, id);
+  LoseLeaseLink(s, id);
 }
 
 // ---- [3] Greeting -----------------------------------------------------------
@@ -128,6 +129,7 @@
     return;
   }
   DisconnectWorker(s, now, id, true);
+  const bool same_life = w.sidecar == frame.hello->sidecar;
   ReplaceSidecar(s, now, id, frame.hello->sidecar);
   w.failure_domain = frame.hello->failure_domain;
   w.state = worker_link::greeting;
@@ -141,7 +143,10 @@
   w.load = {};
   w.outbox = {};
   s.links[link] = id;
-  s.actions.push_back(send_to_sidecar{link, MakeGreeting(s, w)});
+  entry_frame greeting = MakeGreeting(s, w);
+  if (s.leased.options.enabled)
+    GreetLeases(s, id, same_life, greeting);
+  s.actions.push_back(send_to_sidecar{link, std::move(greeting)});
 }
 
 // ---- [4] Reconciling --------------------------------------------------------
@@ -256,6 +261,8 @@
     TakeResult(s, now, id, result);
   for (const reject_record& reject : frame.rejects)
     TakeReject(s, id, reject);
+  if (frame.reports)
+    TakeReports(s, now, id, *frame.reports);
   AnswerOffers(s, now, id, frame);
 }
 
@@ -388,6 +395,8 @@
     frame.acked_through = w.acked_through;
     CarryConfig(s, w, frame);
     CarryBacklog(s, now, w, frame);
+    if (s.leased.options.enabled)
+      CarryOrders(s, s.links.at(w.link), frame);
     w.last_sent = now;
     s.actions.push_back(send_to_sidecar{w.link, std::move(frame)});
   }
--- a/src/core/entry_systems.h
+++ b/src/core/entry_systems.h
@@ -5,6 +5,7 @@
 //   [2] Dispatch
 //   [3] Links
 //   [4] Health
+//   [5] Leased jobs
 
 #ifndef CASSIAFERRY_SRC_CORE_ENTRY_SYSTEMS_H_
 #define CASSIAFERRY_SRC_CORE_ENTRY_SYSTEMS_H_
@@ -82,6 +83,27 @@
                                                // slow or unproven worker
 void MeasureDrain(entry_state& s, micros now);
 
+// ---- [5] Leased jobs (leased_jobs.cc) ---------------------------------------
+
+void SubmitLeasedJob(entry_state& s, micros now, leased_job_submitted event);
+void DropLeasedCaller(entry_state& s, micros now, ticket_id ticket);
+bool CancelLeasedJob(entry_state& s,
+                     micros now,
+                     const std::string& id);  // false: not known here
+// A new stream: `same_life` says whether the sidecar behind it is the one that
+// the worker's runs were ordered of.
+void GreetLeases(entry_state& s,
+                 worker_id worker,
+                 bool same_life,
+                 entry_frame& frame);
+void LoseLeaseLink(entry_state& s, worker_id worker);
+void TakeReports(entry_state& s,
+                 micros now,
+                 worker_id worker,
+                 const lease_reports& reports);
+void CarryOrders(entry_state& s, worker_id worker, entry_frame& frame);
+void TickLeasedJobs(entry_state& s, micros now);
+
 }  // namespace cassiaferry
 
 #endif  // CASSIAFERRY_SRC_CORE_ENTRY_SYSTEMS_H_
--- /dev/null
+++ b/src/core/lease_keeper.cc
@@ -0,0 +1,610 @@
+// The keeper of leased runs, beside one worker.
+//
+// Contents
+//   [1] Bounds and names
+//   [2] Ends
+//   [3] Calls to the worker
+//   [4] The worker's lives
+//   [5] Orders
+//   [6] Answers
+//   [7] Tick
+//   [8] Reports
+
+#include "cassiaferry/lease_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiaferry {
+
+// ---- [1] Bounds and names ---------------------------------------------------
+
+const char* ToText(run_end_kind kind) {
+  constexpr const char* kNames[] = {"done", "failed",        "stopped",
+                                    "lost", "never_started", "superseded"};
+  return kNames[static_cast<size_t>(kind)];
+}
+
+// Vouch, lease by a slow clock and margin together end before a caller sends
+// again: 0.31 + 0.54 / 0.98 of the time, and 50 ms, leave a tenth of it spare.
+lease_bounds BoundsFor(micros lease_max, micros resend_after) {
+  lease_bounds bounds;
+  bounds.lease =
+      std::min(lease_max, micros{resend_after.value * 54 / 100});
+  bounds.vouch = micros{resend_after.value * 31 / 100};
+  return bounds;
+}
+
+namespace {
+
+constexpr size_t kMaxPastLives = 1000;
+
+// ---- [2] Ends ---------------------------------------------------------------
+
+void TellEnd(keeper_state& k,
+             incarnation owner_name,
+             const run_ref& ref,
+             run_end_kind how,
+             uint32_t run_ms) {
+  const auto it = k.owners.find(owner_name);
+  if (it == k.owners.end())
+    return;
+  run_owner& owner = it->second;
+  owner.ends.push_back({owner.next_end++, ref, how, run_ms});
+  owner.due = true;
+}
+
+void EndRun(keeper_state& k, micros now, const leased_task& task,
+            run_end_kind how) {
+  const auto it = k.runs.find(task);
+  const kept_run run = std::move(it->second);
+  k.runs.erase(it);
+  k.used = k.used - run.start.need;
+  TellEnd(k, run.owner, run.start.ref, how,
+          static_cast<uint32_t>(ToMillis(now - run.since)));
+}
+
+void EndAll(keeper_state& k, micros now, run_end_kind how) {
+  while (!k.runs.empty())
+    EndRun(k, now, leased_task(k.runs.begin()->first), how);
+}
+
+// ---- [3] Calls to the worker ------------------------------------------------
+
+// At or before the worker's clock now: `clock_ms` was read before it arrived.
+int64_t WorkerClock(const keeper_state& k, micros now) {
+  return k.clock_ms + ToMillis(now - k.clock_at);
+}
+
+// Failure guarded against: a start lies in a buffer, here or in the network,
+// while this process or the worker's machine is frozen, and is carried out
+// seconds later, when its task runs elsewhere. The start names the moment, on
+// the worker's clock, at which its lease ends; past that the worker refuses it.
+int64_t GrantLease(keeper_state& k, micros now) {
+  k.lease_over =
+      std::max(k.lease_over, now + LapsedAfter(k.options.bounds));
+  return WorkerClock(k, now) + ToMillis(k.options.bounds.lease);
+}
+
+void CallStart(keeper_state& k, micros now, kept_run& run) {
+  ++run.tries;
+  run.called = now;
+  run.call_open = true;
+  k.actions.push_back(call_run_start{k.worker.life, run.start, k.fence,
+                                     GrantLease(k, now),
+                                     ToMillis(k.options.call_timeout)});
+}
+
+void CallStop(keeper_state& k, const run_ref& ref) {
+  k.actions.push_back(call_run_stop{k.worker.life, ref, k.fence,
+                                    ToMillis(k.options.call_timeout)});
+}
+
+void StopRun(keeper_state& k, micros now, kept_run& run) {
+  if (run.state == run_state::stopping)
+    return;
+  run.state = run_state::stopping;
+  run.stop_done = false;
+  run.called = now;
+  run.call_open = true;
+  CallStop(k, run.start.ref);
+}
+
+bool Vouched(const keeper_state& k, micros now, incarnation owner) {
+  const auto it = k.owners.find(owner);
+  return it != k.owners.end() && now <= it->second.vouched_until;
+}
+
+void CallLook(keeper_state& k, micros now) {
+  k.looks_open = ++k.looks_sent;
+  k.look_called = now;
+  call_look look;
+  look.life = k.worker.life;
+  look.fence = k.fence;
+  look.seen = k.seen;
+  // What runs there unknown to this process gets no extension: it is stopped,
+  // or lapses.
+  const bool extends = k.opened && k.has_clock && !k.runs.empty();
+  look.lease_until_ms = extends ? GrantLease(k, now) : 0;
+  look.wait_ms = k.opened ? ToMillis(k.options.look_wait) : 0;
+  look.timeout_ms = look.wait_ms + ToMillis(k.options.call_timeout);
+  k.actions.emplace_back(std::move(look));
+}
+
+// ---- [4] The worker's lives -------------------------------------------------
+
+void Open(keeper_state& k, micros now) {
+  if (k.opened)
+    return;
+  k.opened = true;
+  k.opened_at = now;
+  for (auto& [name, owner] : k.owners)
+    owner.due = true;
+}
+
+// The worker is gone, and with it all that ran there.
+void LoseWorker(keeper_state& k, micros now) {
+  EndAll(k, now, run_end_kind::lost);
+  k.strays.clear();
+  if (k.past_lives.size() >= kMaxPastLives)
+    k.past_lives.clear();
+  k.past_lives.insert(k.worker.life);
+  k.has_worker = false;
+  k.looks_open = 0;
+  Open(k, now);
+  for (auto& [name, owner] : k.owners)
+    owner.due = true;
+}
+
+void BeginLife(keeper_state& k, micros now, const leased_worker_announced& e) {
+  const bool first = k.past_lives.empty();
+  k.has_worker = true;
+  k.worker = e.info;
+  k.sequence = e.sequence;
+  k.draining = e.draining;
+  k.has_clock = false;
+  k.seen = 0;
+  k.looks_open = 0;
+  k.life_since = now;
+  k.last_answer = now;
+  k.fence = std::max(k.fence, k.options.first_fence);
+  // The first life that this process meets may run what an earlier sidecar
+  // started there. A later one is new, and runs nothing.
+  k.opened = !first;
+  for (auto& [name, owner] : k.owners) {
+    owner.worker_told = false;
+    owner.due = true;
+  }
+}
+
+// Failure guarded against: an announcement held up by a cut arrives after its
+// sender has crashed and a new life has announced itself. Lives that are over
+// stay over, and within a life the sequence number only grows.
+void Announce(keeper_state& k, micros now, const leased_worker_announced& e) {
+  if (k.past_lives.count(e.info.life) != 0)
+    return;
+  if (k.has_worker && k.worker.life != e.info.life)
+    LoseWorker(k, now);
+  if (!k.has_worker) {
+    BeginLife(k, now, e);
+    return;
+  }
+  if (e.sequence < k.sequence)
+    return;
+  k.sequence = e.sequence;
+  const bool changed = k.draining != e.draining || !(k.worker == e.info);
+  k.draining = e.draining;
+  k.worker = e.info;
+  if (!changed)
+    return;
+  for (auto& [name, owner] : k.owners) {
+    owner.worker_told = false;
+    owner.due = true;
+  }
+}
+
+// ---- [5] Orders -------------------------------------------------------------
+
+void TakeRunStart(keeper_state& k,
+                  micros now,
+                  incarnation owner_name,
+                  run_owner& owner,
+                  run_start start) {
+  ++owner.starts_seen;
+  const auto there = k.runs.find(start.ref.task);
+  if (there != k.runs.end()) {
+    kept_run& run = there->second;
+    if (run.owner == owner_name && run.start.ref == start.ref)
+      return;
+    // Failure guarded against: a caller whose connection broke has sent its job
+    // again to another entry, and the first entry's run is still here. Two runs
+    // of one task never overlap: the older is stopped, the newer refused.
+    if (run.owner != owner_name)
+      StopRun(k, now, run);
+    TellEnd(k, owner_name, start.ref, run_end_kind::never_started, 0);
+    return;
+  }
+  // Failure guarded against: orders held up in the network or by a pause of
+  // this process arrive when their owner has given them up. They echo a stamp
+  // too old to vouch for anything.
+  const bool acceptable = TakesLeasedWork(k, now) &&
+                          Vouched(k, now, owner_name) &&
+                          Fits(start.need, FreeRoom(k));
+  if (!acceptable) {
+    TellEnd(k, owner_name, start.ref, run_end_kind::never_started, 0);
+    return;
+  }
+  kept_run run;
+  run.owner = owner_name;
+  run.since = now;
+  run.start = std::move(start);
+  k.used = k.used + run.start.need;
+  const leased_task task = run.start.ref.task;
+  kept_run& row = k.runs.emplace(task, std::move(run)).first->second;
+  CallStart(k, now, row);
+}
+
+void TakeRunStop(keeper_state& k, micros now, incarnation owner,
+                 const run_ref& ref) {
+  const auto it = k.runs.find(ref.task);
+  if (it != k.runs.end() && it->second.owner == owner &&
+      it->second.start.ref == ref)
+    StopRun(k, now, it->second);
+}
+
+bool HasEnd(const run_owner& owner, const run_ref& ref) {
+  return std::any_of(owner.ends.begin(), owner.ends.end(),
+                     [&](const run_end& e) { return e.ref == ref; });
+}
+
+// A new stream of this owner: it names the runs that it ordered from this very
+// process and has heard no end of. What is here beyond those is stopped; what
+// it names and is not here never started, as its order went down with the older
+// stream.
+void ReconcileRuns(keeper_state& k,
+                   micros now,
+                   incarnation owner_name,
+                   run_owner& owner,
+                   const std::vector<run_ref>& known) {
+  owner.starts_seen = 0;
+  owner.ends_told = 0;
+  owner.worker_told = false;
+  owner.due = true;
+  const std::set<run_ref> wanted(known.begin(), known.end());
+  for (auto& [task, run] : k.runs) {
+    if (run.owner == owner_name && wanted.count(run.start.ref) == 0)
+      StopRun(k, now, run);
+  }
+  for (const run_ref& ref : wanted) {
+    const auto it = k.runs.find(ref.task);
+    const bool here = it != k.runs.end() && it->second.owner == owner_name &&
+                      it->second.start.ref == ref;
+    if (!here && !HasEnd(owner, ref))
+      TellEnd(k, owner_name, ref, run_end_kind::never_started, 0);
+  }
+}
+
+void AckEnds(run_owner& owner, uint64_t through) {
+  while (!owner.ends.empty() && owner.ends.front().number <= through) {
+    owner.ends.pop_front();
+    if (owner.ends_told > 0)
+      --owner.ends_told;
+  }
+}
+
+// ---- [6] Answers ------------------------------------------------------------
+
+void RaiseFence(keeper_state& k) {
+  k.fence += k.fence_step;
+  k.fence_step *= 2;
+}
+
+// A start that was refused leaves nothing behind, unless an earlier copy of it
+// got no answer and may still be carried out: then a stop marks the run as
+// over on the worker first.
+void StartRefused(keeper_state& k, micros now, kept_run& run,
+                  run_end_kind how) {
+  if (run.tries > 1)
+    StopRun(k, now, run);
+  else
+    EndRun(k, now, leased_task(run.start.ref.task), how);
+}
+
+void RetryStart(keeper_state& k, micros now, kept_run& run) {
+  if (run.tries < k.options.start_tries && Vouched(k, now, run.owner))
+    CallStart(k, now, run);
+  else
+    StopRun(k, now, run);
+}
+
+void TakeStartAnswer(keeper_state& k, micros now, const run_start_answered& e) {
+  const auto it = k.runs.find(e.ref.task);
+  if (it == k.runs.end() || it->second.start.ref != e.ref ||
+      it->second.state != run_state::starting)
+    return;
+  kept_run& run = it->second;
+  run.call_open = false;
+  switch (e.answer) {
+    case worker_answer::ok:
+      run.state = run_state::running;
+      run.confirmed = true;
+      run.looks_at_change = k.looks_sent;
+      return;
+    case worker_answer::stale_fence:
+      RaiseFence(k);
+      RetryStart(k, now, run);
+      return;
+    case worker_answer::superseded:
+      StartRefused(k, now, run, run_end_kind::superseded);
+      return;
+    case worker_answer::late:
+    case worker_answer::no_room:
+    case worker_answer::unavailable:
+    case worker_answer::bad_request:
+    case worker_answer::other_life:
+      StartRefused(k, now, run, run_end_kind::never_started);
+      return;
+    case worker_answer::none:
+      RetryStart(k, now, run);
+      return;
+  }
+}
+
+void TakeStopAnswer(keeper_state& k, micros now, const run_stop_answered& e) {
+  const bool answered = e.answer == worker_answer::ok;
+  if (e.answer == worker_answer::stale_fence)
+    RaiseFence(k);
+  const auto it = k.runs.find(e.ref.task);
+  if (it == k.runs.end() || it->second.start.ref != e.ref) {
+    if (answered)
+      k.strays.erase(e.ref);
+    return;
+  }
+  kept_run& run = it->second;
+  run.call_open = false;
+  if (run.state != run_state::stopping || !answered || run.stop_done)
+    return;
+  run.stop_done = true;
+  run.looks_at_change = k.looks_sent;
+  static_cast<void>(now);
+}
+
+void TakeListedEnd(keeper_state& k, micros now, const listed_end& end) {
+  if (end.number <= k.seen)
+    return;
+  k.seen = end.number;
+  const auto it = k.runs.find(end.ref.task);
+  if (it == k.runs.end() || it->second.start.ref != end.ref)
+    return;
+  EndRun(k, now, leased_task(end.ref.task), end.how);
+}
+
+// `look`: the number of the look whose answer lists `running`. A run that was
+// confirmed, or whose stop was answered, before that look was sent and is not
+// listed is over: its end was listed and forgotten, or it never began.
+void CompareRunning(keeper_state& k,
+                    micros now,
+                    uint64_t look,
+                    const std::vector<run_ref>& running) {
+  const std::set<run_ref> listed(running.begin(), running.end());
+  std::vector<leased_task> over;
+  for (const auto& [task, run] : k.runs) {
+    const bool settled = run.state == run_state::running ||
+                         (run.state == run_state::stopping && run.stop_done);
+    if (settled && run.looks_at_change < look &&
+        listed.count(run.start.ref) == 0)
+      over.push_back(task);
+  }
+  for (const leased_task& task : over) {
+    const bool stopped = k.runs[task].state == run_state::stopping;
+    EndRun(k, now, task,
+           stopped ? run_end_kind::stopped : run_end_kind::lost);
+  }
+  for (const run_ref& ref : listed) {
+    const auto it = k.runs.find(ref.task);
+    const bool known = it != k.runs.end() && it->second.start.ref == ref;
+    if (!known && k.strays.emplace(ref, now).second)
+      CallStop(k, ref);
+  }
+  std::erase_if(k.strays, [&](const auto& row) {
+    return listed.count(row.first) == 0;
+  });
+}
+
+void TakeLook(keeper_state& k, micros now, const look_answered& e) {
+  const uint64_t look = k.looks_open;
+  k.looks_open = 0;
+  if (e.answer == worker_answer::other_life) {
+    LoseWorker(k, now);
+    return;
+  }
+  if (e.answer == worker_answer::stale_fence) {
+    RaiseFence(k);
+    return;
+  }
+  if (e.answer != worker_answer::ok)
+    return;
+  const bool was_suspect = !TakesLeasedWork(k, now);
+  k.last_answer = now;
+  k.has_clock = true;
+  k.clock_ms = e.clock_ms;
+  k.clock_at = now;
+  for (const listed_end& end : e.ended)
+    TakeListedEnd(k, now, end);
+  CompareRunning(k, now, look, e.running);
+  if (k.strays.empty())
+    Open(k, now);
+  if (was_suspect) {
+    for (auto& [name, owner] : k.owners)
+      owner.due = true;
+  }
+}
+
+struct keeper_event_taker {
+  keeper_state& k;
+  micros now;
+
+  bool IsCurrent(const std::string& life) const {
+    return k.has_worker && k.worker.life == life;
+  }
+  void operator()(const leased_worker_announced& e) { Announce(k, now, e); }
+  void operator()(const leased_worker_left& e) {
+    if (IsCurrent(e.life))
+      LoseWorker(k, now);
+  }
+  void operator()(const run_start_answered& e) {
+    if (IsCurrent(e.life))
+      TakeStartAnswer(k, now, e);
+  }
+  void operator()(const run_stop_answered& e) {
+    if (IsCurrent(e.life))
+      TakeStopAnswer(k, now, e);
+  }
+  void operator()(const look_answered& e) {
+    if (IsCurrent(e.life))
+      TakeLook(k, now, e);
+  }
+};
+
+// ---- [7] Tick ---------------------------------------------------------------
+
+// Failure guarded against: the worker is gone without a word, or out of reach.
+// It shows as no answer at all. Once no lease granted to it can be left, what
+// ran there has ended, whatever became of the worker.
+void CheckLease(keeper_state& k, micros now) {
+  if (!k.runs.empty() && now > k.lease_over + k.options.bounds.margin &&
+      now - k.last_answer > k.options.suspect_after)
+    EndAll(k, now, run_end_kind::lost);
+  const micros leases_of_others = LapsedAfter(k.options.bounds) +
+                                  k.options.bounds.lease;
+  if (k.has_worker && !k.opened && now - k.life_since > leases_of_others)
+    Open(k, now);
+}
+
+// Failure guarded against: an owner died, or was cut off, and its job may be
+// started again by another entry. What nobody vouches for is stopped.
+void StopUnvouched(keeper_state& k, micros now) {
+  for (auto& [task, run] : k.runs) {
+    if (run.state != run_state::stopping && !Vouched(k, now, run.owner))
+      StopRun(k, now, run);
+  }
+}
+
+void RetryStops(keeper_state& k, micros now) {
+  for (auto& [task, run] : k.runs) {
+    const bool due = run.state == run_state::stopping && !run.stop_done &&
+                     !run.call_open &&
+                     now - run.called >= k.options.call_timeout;
+    if (!due)
+      continue;
+    run.called = now;
+    run.call_open = true;
+    CallStop(k, run.start.ref);
+  }
+  for (auto& [ref, called] : k.strays) {
+    if (now - called < k.options.call_timeout)
+      continue;
+    called = now;
+    CallStop(k, ref);
+  }
+}
+
+void KeepLooking(keeper_state& k, micros now) {
+  if (!k.has_worker || k.looks_open != 0)
+    return;
+  const bool failing = k.last_answer < k.look_called;
+  if (failing && now - k.look_called < k.options.call_timeout)
+    return;
+  CallLook(k, now);
+}
+
+void ForgetIdleOwners(keeper_state& k, micros now) {
+  constexpr micros kOwnerMemory = Millis(60'000);
+  std::erase_if(k.owners, [&](const auto& row) {
+    return now - row.second.vouched_until > kOwnerMemory;
+  });
+}
+
+void TellFreedRoom(keeper_state& k) {
+  const room free = FreeRoom(k);
+  if (free == k.free_told)
+    return;
+  k.free_told = free;
+  for (auto& [name, owner] : k.owners) {
+    if (owner.wants_room)
+      owner.due = true;
+  }
+}
+
+}  // namespace
+
+keeper_state MakeKeeper(keeper_options options) {
+  keeper_state k;
+  k.fence = options.first_fence;
+  k.options = options;
+  return k;
+}
+
+void TakeKeeperEvent(keeper_state& k, micros now, keeper_event event) {
+  std::visit(keeper_event_taker{k, now}, event);
+}
+
+void TakeOrders(keeper_state& k,
+                micros now,
+                incarnation owner_name,
+                lease_orders orders) {
+  run_owner& owner = k.owners[owner_name];
+  owner.vouched_until = std::max(
+      owner.vouched_until, micros{orders.echo} + k.options.bounds.vouch);
+  AckEnds(owner, orders.acked_end);
+  owner.wants_room = orders.wants_room;
+  if (orders.is_first)
+    ReconcileRuns(k, now, owner_name, owner, orders.known);
+  for (const run_ref& ref : orders.stops)
+    TakeRunStop(k, now, owner_name, ref);
+  for (run_start& start : orders.starts)
+    TakeRunStart(k, now, owner_name, owner, std::move(start));
+}
+
+void TickKeeper(keeper_state& k, micros now) {
+  CheckLease(k, now);
+  StopUnvouched(k, now);
+  RetryStops(k, now);
+  KeepLooking(k, now);
+  TellFreedRoom(k);
+  ForgetIdleOwners(k, now);
+}
+
+bool TakesLeasedWork(const keeper_state& k, micros now) {
+  return k.has_worker && k.opened && k.has_clock && !k.draining && !k.stopping &&
+         now - k.last_answer <= k.options.suspect_after;
+}
+
+room FreeRoom(const keeper_state& k) {
+  return k.worker.capacity - k.used;
+}
+
+// ---- [8] Reports ------------------------------------------------------------
+
+lease_reports ReportFor(keeper_state& k, micros now, incarnation owner_name) {
+  lease_reports report;
+  report.stamp = now.value;
+  run_owner& owner = k.owners[owner_name];
+  report.starts_seen = owner.starts_seen;
+  report.takes_work = TakesLeasedWork(k, now);
+  report.free = FreeRoom(k);
+  if (!owner.worker_told && k.has_worker)
+    report.worker = k.worker;
+  owner.worker_told = k.has_worker;
+  for (size_t i = owner.ends_told; i < owner.ends.size(); ++i)
+    report.ends.push_back(owner.ends[i]);
+  owner.ends_told = owner.ends.size();
+  owner.due = false;
+  return report;
+}
+
+void ForgetOwner(keeper_state& k, incarnation owner) {
+  k.owners.erase(owner);
+}
+
+}  // namespace cassiaferry
--- a/src/core/sidecar.cc
+++ b/src/core/sidecar.cc
@@ -387,7 +387,10 @@
   }
   entry.last_heard = now;
   TakeRecords(s, now, entry_name, entry, frame);
+  if (frame.orders && s.options.keeps_leases)
+    TakeOrders(s.keeper, now, entry_name, std::move(*frame.orders));
   if (frame.goodbye) {
+    ForgetOwner(s.keeper, entry_name);
     s.entries.erase(entry_name);
     CloseLink(s, now, event.link, true);
   }
@@ -522,6 +525,11 @@
   return s.draining ? upstream_state::leaving : s.state;
 }
 
+bool HasReport(const sidecar_state& s, incarnation entry) {
+  const auto owner = s.keeper.owners.find(entry);
+  return owner != s.keeper.owners.end() && owner->second.due;
+}
+
 void Flush(sidecar_state& s, micros now) {
   for (size_t i = 0; i < s.links.size(); ++i) {
     entry_link& link = s.links[i];
@@ -530,7 +538,8 @@
     entry_memory& entry = s.entries[link.entry];
     const bool state_changed = link.state_told != ToldState(s);
     const bool upstream_changed = !SameUpstream(link.upstream_told, s.upstream);
-    if (!link.must_send && !state_changed && !upstream_changed)
+    if (!link.must_send && !state_changed && !upstream_changed &&
+        !HasReport(s, link.entry))
       continue;
     sidecar_frame frame = std::move(link.outbox);
     link.outbox = {};
@@ -545,6 +554,8 @@
     frame.load.free_slots = TakesWork(s) ? FreeSlots(s) : 0;
     frame.load.queued = static_cast<uint32_t>(s.queue.size());
     frame.load.starts_seen = entry.starts_seen;
+    if (s.options.keeps_leases)
+      frame.reports = ReportFor(s.keeper, now, link.entry);
     link.last_sent = now;
     s.actions.push_back(
         send_to_entry{entry_id{static_cast<uint32_t>(i)}, std::move(frame)});
@@ -680,10 +691,29 @@
   void operator()(task_finished& e) { Finish(s, now, std::move(e)); }
   void operator()(drain_requested&) {
     s.draining = true;
+    s.drain_since = now;
+    s.keeper.stopping = true;
     RejectQueuedTasks(s);
   }
+  void operator()(entries_found& e) {
+    for (const std::string& address : e.addresses)
+      LearnAddress(s, address, false);
+  }
+  void operator()(keeper_event& e) {
+    TakeKeeperEvent(s.keeper, now, std::move(e));
+  }
 };
 
+// The keeper is part of this process, and its calls go out like others.
+void RunKeeper(sidecar_state& s, micros now) {
+  if (!s.options.keeps_leases)
+    return;
+  TickKeeper(s.keeper, now);
+  for (keeper_action& action : s.keeper.actions)
+    s.actions.emplace_back(std::move(action));
+  s.keeper.actions.clear();
+}
+
 // An entry whose stream is broken just now gets some time to come back for its
 // results.
 bool AllAcknowledged(const sidecar_state& s, micros now) {
@@ -695,8 +725,19 @@
   });
 }
 
+// A planned stop waits for what runs under a lease, up to the grace: then the
+// next process beside this worker stops it.
+bool LeasesSettled(const sidecar_state& s, micros now) {
+  if (!s.options.keeps_leases || now - s.drain_since > s.options.drain_grace)
+    return true;
+  return s.keeper.runs.empty() &&
+         std::all_of(s.keeper.owners.begin(), s.keeper.owners.end(),
+                     [](const auto& row) { return row.second.ends.empty(); });
+}
+
 void CheckDrained(sidecar_state& s, micros now) {
-  if (!s.draining || !s.running.empty() || !AllAcknowledged(s, now))
+  if (!s.draining || !s.running.empty() || !AllAcknowledged(s, now) ||
+      !LeasesSettled(s, now))
     return;
   for (size_t i = 0; i < s.links.size(); ++i) {
     entry_link& link = s.links[i];
@@ -721,6 +762,7 @@
   s.random.seed(options.seed);
   for (const std::string& address : options.seeds)
     LearnAddress(s, address, true);
+  s.keeper = MakeKeeper(options.keeper);
   s.options = std::move(options);
   return s;
 }
@@ -738,6 +780,7 @@
   StopOrphans(s, now);
   ForgetEntries(s, now);
   ServeSlots(s, now);
+  RunKeeper(s, now);
   CheckDrained(s, now);
   Flush(s, now);
   return std::move(s.actions);
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -44,6 +44,7 @@
         {"cancelled", 499},
         {"unauthorized", 401},
         {"forbidden", 403},
+        {"not_supported", 501},
     }};
 
 class reason_category : public std::error_category {
--- a/src/net/codec.cc
+++ b/src/net/codec.cc
@@ -2,8 +2,9 @@
 //
 // Contents
 //   [1] Shared records
-//   [2] Entry frames
-//   [3] Sidecar frames
+//   [2] Leased runs
+//   [3] Entry frames
+//   [4] Sidecar frames
 
 #include "codec.h"
 
@@ -43,7 +44,137 @@
   return static_cast<Enum>(std::min(value, static_cast<uint32_t>(last)));
 }
 
-// ---- [2] Entry frames -------------------------------------------------------
+// ---- [2] Leased runs --------------------------------------------------------
+
+void Write(const room& r, wire::Room* out) {
+  out->set_cpu(r.cpu);
+  out->set_memory_mb(r.memory_mb);
+  out->set_gpus(r.gpus);
+}
+
+room Read(const wire::Room& r) {
+  return {r.cpu(), r.memory_mb(), r.gpus()};
+}
+
+void Write(const run_ref& ref, wire::RunRef* out) {
+  out->set_job(ref.task.job);
+  out->set_occurrence(ref.task.occurrence);
+  out->set_step(ref.task.step);
+  out->set_index(ref.task.index);
+  out->set_run(ref.run);
+}
+
+run_ref Read(const wire::RunRef& ref) {
+  return {{ref.job(), ref.occurrence(), ref.step(), ref.index()}, ref.run()};
+}
+
+void Write(const run_start& start, wire::RunStart* out) {
+  out->set_occurrence(start.ref.task.occurrence);
+  out->set_step(start.ref.task.step);
+  out->set_index(start.ref.task.index);
+  out->set_run(start.ref.run);
+  Write(start.need, out->mutable_need());
+}
+
+// Tasks of one job come one after the other and share its payload, which
+// travels once.
+void WriteStarts(const std::vector<run_start>& starts, wire::LeaseOrders* out) {
+  wire::RunStartBatch* batch = nullptr;
+  for (const run_start& start : starts) {
+    if (batch == nullptr || batch->job() != start.ref.task.job) {
+      batch = out->add_starts();
+      batch->set_job(start.ref.task.job);
+      batch->set_payload(start.payload);
+    }
+    Write(start, batch->add_starts());
+  }
+}
+
+void ReadBatch(const wire::RunStartBatch& batch, std::vector<run_start>& out) {
+  for (const wire::RunStart& start : batch.starts()) {
+    run_start s;
+    s.ref = {{batch.job(), start.occurrence(), start.step(), start.index()},
+             start.run()};
+    s.need = Read(start.need());
+    s.payload = batch.payload();
+    out.push_back(std::move(s));
+  }
+}
+
+void Write(const lease_orders& orders, wire::LeaseOrders* out) {
+  out->set_echo(orders.echo);
+  WriteStarts(orders.starts, out);
+  for (const run_ref& ref : orders.stops)
+    Write(ref, out->add_stops());
+  out->set_acked_end(orders.acked_end);
+  out->set_wants_room(orders.wants_room);
+  out->set_is_first(orders.is_first);
+  for (const run_ref& ref : orders.known)
+    Write(ref, out->add_known());
+}
+
+lease_orders Read(const wire::LeaseOrders& orders) {
+  lease_orders o;
+  o.echo = orders.echo();
+  for (const wire::RunStartBatch& batch : orders.starts())
+    ReadBatch(batch, o.starts);
+  for (const wire::RunRef& ref : orders.stops())
+    o.stops.push_back(Read(ref));
+  o.acked_end = orders.acked_end();
+  o.wants_room = orders.wants_room();
+  o.is_first = orders.is_first();
+  for (const wire::RunRef& ref : orders.known())
+    o.known.push_back(Read(ref));
+  return o;
+}
+
+void Write(const leased_worker_info& info, wire::LeasedWorkerInfo* out) {
+  out->set_life(info.life);
+  out->set_upstream(info.upstream);
+  Write(info.capacity, out->mutable_capacity());
+  for (const std::string& label : info.labels)
+    out->add_labels(label);
+}
+
+leased_worker_info Read(const wire::LeasedWorkerInfo& info) {
+  return {info.life(),
+          info.upstream(),
+          Read(info.capacity()),
+          {info.labels().begin(), info.labels().end()}};
+}
+
+void Write(const lease_reports& reports, wire::LeaseReports* out) {
+  out->set_stamp(reports.stamp);
+  out->set_starts_seen(reports.starts_seen);
+  out->set_takes_work(reports.takes_work);
+  Write(reports.free, out->mutable_free());
+  if (reports.worker)
+    Write(*reports.worker, out->mutable_worker());
+  for (const run_end& end : reports.ends) {
+    wire::RunEnd* e = out->add_ends();
+    e->set_number(end.number);
+    Write(end.ref, e->mutable_ref());
+    e->set_how(static_cast<uint32_t>(end.how));
+    e->set_run_ms(end.run_ms);
+  }
+}
+
+lease_reports Read(const wire::LeaseReports& reports) {
+  lease_reports r;
+  r.stamp = reports.stamp();
+  r.starts_seen = reports.starts_seen();
+  r.takes_work = reports.takes_work();
+  r.free = Read(reports.free());
+  if (reports.has_worker())
+    r.worker = Read(reports.worker());
+  for (const wire::RunEnd& end : reports.ends())
+    r.ends.push_back({end.number(), Read(end.ref()),
+                      Bounded(end.how(), run_end_kind::superseded),
+                      end.run_ms()});
+  return r;
+}
+
+// ---- [3] Entry frames -------------------------------------------------------
 
 void Write(const start_record& start, wire::Start* out) {
   Write(start.task, out->mutable_task());
@@ -108,6 +239,8 @@
   out.set_version(frame.version.value);
   if (frame.config)
     Write(*frame.config, out.mutable_config());
+  if (frame.orders)
+    Write(*frame.orders, out.mutable_orders());
   return out;
 }
 
@@ -135,10 +268,12 @@
   f.version = config_version{frame.version()};
   if (frame.has_config())
     f.config = Read(frame.config());
+  if (frame.has_orders())
+    f.orders = Read(frame.orders());
   return f;
 }
 
-// ---- [3] Sidecar frames -----------------------------------------------------
+// ---- [4] Sidecar frames -----------------------------------------------------
 
 namespace {
 
@@ -230,6 +365,8 @@
   out.set_version(frame.version.value);
   if (frame.config)
     Write(*frame.config, out.mutable_config());
+  if (frame.reports)
+    Write(*frame.reports, out.mutable_reports());
   return out;
 }
 
@@ -261,6 +398,8 @@
   f.version = config_version{frame.version()};
   if (frame.has_config())
     f.config = Read(frame.config());
+  if (frame.has_reports())
+    f.reports = Read(frame.reports());
   return f;
 }
 
--- a/src/net/control_loop.h
+++ b/src/net/control_loop.h
@@ -4,6 +4,8 @@
 #ifndef CASSIAFERRY_SRC_NET_CONTROL_LOOP_H_
 #define CASSIAFERRY_SRC_NET_CONTROL_LOOP_H_
 
+#include <time.h>
+
 #include <chrono>
 #include <condition_variable>
 #include <functional>
@@ -15,11 +17,15 @@
 
 namespace cassiaferry {
 
-// Microseconds on the monotonic clock.
+// Microseconds on a clock that never goes back.
+//
+// Failure guarded against: the machine is suspended, and its monotonic clock
+// stands still meanwhile, so that a lease looks younger here than it is to
+// others. The boot clock goes on.
 inline micros Now() {
-  const auto since = std::chrono::steady_clock::now().time_since_epoch();
-  return micros{
-      std::chrono::duration_cast<std::chrono::microseconds>(since).count()};
+  timespec t{};
+  clock_gettime(CLOCK_BOOTTIME, &t);
+  return micros{int64_t{t.tv_sec} * 1'000'000 + t.tv_nsec / 1000};
 }
 
 // Milliseconds since the epoch. Only for expiry of kept rows, never for safety.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -205,11 +205,14 @@
   }
 }
 
-http_client::http_client() : impl_(std::make_unique<impl>()) {
+http_client::http_client(long connections_per_host)
+    : impl_(std::make_unique<impl>()) {
   static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
   static_cast<void>(initialized);
   impl_->multi = curl_multi_init();
   curl_multi_setopt(impl_->multi, CURLMOPT_MAXCONNECTS, kKeptConnections);
+  curl_multi_setopt(impl_->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                    connections_per_host);
   impl_->thread = std::thread([this] { impl_->Loop(); });
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -38,7 +38,8 @@
   using reply_callback =
       std::function<void(http_reply)>;  // on the client's thread
 
-  http_client();
+  // `connections_per_host`: calls beyond wait for a free one; 0: no bound.
+  explicit http_client(long connections_per_host = 0);
   ~http_client();  // open calls get no reply
 
   uint64_t Start(http_call call,
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -99,7 +99,12 @@
   static constexpr bool use_connection_count_limiter = true;
 };
 
+std::string WithoutPort(const std::string& host) {
+  return host.substr(0, host.find(':'));
+}
+
 http_request ReadRequest(const restinio::request_handle_t& request,
+                         const std::vector<std::string>& keep_headers,
                          ticket_id ticket) {
   const auto& header = request->header();
   http_request r;
@@ -113,6 +118,10 @@
   r.if_match =
       header.get_field_or(restinio::http_field::if_match, std::string());
   r.task = header.get_field_or("Cassiaferry-Task", std::string());
+  r.host = WithoutPort(
+      header.get_field_or(restinio::http_field::host, std::string()));
+  for (const std::string& name : keep_headers)
+    r.kept.push_back(header.get_field_or(name, std::string()));
   return r;
 }
 
@@ -161,7 +170,7 @@
     return restinio::request_accepted();
   }
   const ticket_id ticket{next_ticket++};
-  http_request r = ReadRequest(request, ticket);
+  http_request r = ReadRequest(request, options.keep_headers, ticket);
   pending.Add(ticket, request);
   on_request(std::move(r));
   return restinio::request_accepted();
@@ -181,6 +190,7 @@
                          request_callback on_request,
                          gone_callback on_gone)
     : impl_(std::make_unique<impl>()) {
+  impl_->next_ticket = options.first_ticket;
   impl_->options = std::move(options);
   impl_->on_request = std::move(on_request);
   impl_->on_gone = std::move(on_gone);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -23,7 +23,10 @@
   std::string body;
   std::string authorization;  // the header's value, empty if absent
   std::string if_match;
-  std::string task;  // "Cassiaferry-Task", for upstreams
+  std::string task;               // "Cassiaferry-Task", for upstreams
+  std::string host;               // the header's value, without a port
+  std::vector<std::string> kept;  // values of the headers that the options
+                                  // name, in that order; empty if absent
 };
 
 struct http_response {
@@ -43,6 +46,8 @@
   size_t max_connections = 512;
   std::chrono::seconds read_timeout{15};  // for one whole request
   std::chrono::seconds write_timeout{15};
+  std::vector<std::string> keep_headers;  // passed on with each request
+  uint64_t first_ticket = 1;  // so that servers of one process share no ticket
 };
 
 class http_server {
--- /dev/null
+++ b/src/net/row_watch.h
@@ -0,0 +1,74 @@
+// Follows one table of the store: reads it whole, then its changes.
+//
+// Single-threaded: call everything on one thread. `post` brings the store's
+// answers back to it.
+//
+// Contents
+//   [1] Options
+//   [2] The watch
+
+#ifndef CASSIAFERRY_SRC_NET_ROW_WATCH_H_
+#define CASSIAFERRY_SRC_NET_ROW_WATCH_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cassiaferry/ids.h"
+#include "row_store.h"
+
+namespace cassiaferry {
+
+// ---- [1] Options ------------------------------------------------------------
+
+struct row_watch_options {
+  std::string table;
+  int64_t feed_wait_ms = 1000;  // an idle feed answers after this
+  // Between whole reads. Failure guarded against: a feed that hears nothing,
+  // while changes are made, and says so to nobody.
+  micros reread = Millis(30'000);
+  micros backoff = Millis(100);  // after a failed call, ...
+  micros backoff_most = Millis(500);  // ... doubled up to this
+};
+
+// ---- [2] The watch ----------------------------------------------------------
+
+class row_watch {
+ public:
+  using post_function = std::function<void(std::function<void()>)>;
+  using row_function = std::function<void(const stored_row&)>;
+
+  // `on_row`: each row read, and each changed one, in order.
+  row_watch(row_store store,
+            row_watch_options options,
+            post_function post,
+            row_function on_row);
+
+  void Tick(micros now);  // calls the store when it is time
+  bool IsLoaded() const { return loaded_; }  // the table was read whole, once
+  bool IsConnected() const { return failures_ == 0; }
+
+ private:
+  void Read();
+  void Follow();
+  void Take(bool whole, const rows_reply& reply);
+
+  row_store store_;
+  row_watch_options options_;
+  post_function post_;
+  row_function on_row_;
+  bool open_ = false;    // a call is under way
+  bool loaded_ = false;
+  bool must_read_ = true;
+  uint64_t version_ = 0;
+  uint32_t failures_ = 0;  // in a row
+  micros now_{0};
+  micros next_call_{0};
+  micros last_read_{0};
+  std::shared_ptr<bool> alive_;  // answers after the end are dropped
+};
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_SRC_NET_ROW_WATCH_H_
