--- a/include/cassiaferry/lease_keeper.h
+++ b/include/cassiaferry/lease_keeper.h
@@ -29,10 +29,14 @@
 
 struct keeper_options {
   lease_bounds bounds;
-  micros look_wait = Millis(200);  // a look waits so long for an end; well
-                                   // under half a lease
-  micros call_timeout = Millis(120);  // an order without an answer by then is
-                                      // sent again; 40 times a local round trip
+  micros look_wait = Millis(150);    // a look waits so long for an end; well
+                                     // under half a lease
+  micros call_timeout = Millis(60);  // an order without an answer by then is
+                                     // sent again; 200 times a local round trip
+  // While some calls get no answer, looks are short: a look that is lost leaves
+  // ends unseen, and their room unused, until it times out.
+  micros lossy_look_wait = Millis(20);
+  micros lossy_for = Millis(3000);  // since the newest call without an answer
   micros suspect_after = Millis(400);  // no answer of the worker for this long:
                                        // nothing new goes there
   uint32_t start_tries = 3;  // then the run is stopped, and reported unstarted
@@ -112,8 +116,8 @@
 struct call_look {
   std::string life;
   uint64_t fence = 0;
-  uint64_t seen = 0;            // ends up to this number are forgotten
-  int64_t lease_until_ms = 0;   // 0: the lease is not extended
+  uint64_t seen = 0;           // ends up to this number are forgotten
+  int64_t lease_until_ms = 0;  // 0: the lease is not extended
   int64_t wait_ms = 0;
   int64_t timeout_ms = 0;
 };
@@ -168,6 +172,7 @@
   micros clock_at{0};    // ... at or before this moment
   micros lease_over{0};  // no lease granted yet outlasts this
   micros last_answer{0};
+  micros last_loss{0};  // newest call without an answer; 0: none yet
   uint64_t looks_sent = 0;
   uint64_t looks_open = 0;  // number of the look under way; 0: none
   micros look_called{0};
--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -1,8 +1,8 @@
 // Jobs whose tasks run under leases: an entry's side.
 //
 // A caller names the job, and may send it again, to any entry, after an answer
-// that leaves open what became of it. A task that failed or was lost runs again,
-// up to a bound; two runs of a task never overlap.
+// that leaves open what became of it. A task that failed or was lost runs
+// again, up to a bound; two runs of a task never overlap.
 //
 // Contents
 //   [1] Jobs as callers send them
@@ -33,11 +33,11 @@
 // ---- [1] Jobs as callers send them ------------------------------------------
 
 struct leased_step {
-  uint32_t count = 1;          // tasks
-  room need;                   // of each task
-  int64_t expected_ms = 0;     // declared, often wrong; 0: none
-  std::vector<uint32_t> after;  // earlier steps that must be done first
-  std::string label;           // that the worker must have; empty: any
+  uint32_t count = 1;            // tasks
+  room need;                     // of each task
+  int64_t expected_ms = 0;       // declared, often wrong; 0: none
+  std::vector<uint32_t> after;   // earlier steps that must be done first
+  std::string label;             // that the worker must have; empty: any
   uint32_t most_per_worker = 0;  // tasks of the step on one worker; 0: any
 };
 
@@ -46,7 +46,7 @@
   std::string queue;  // of the configuration
   std::string payload;
   std::vector<leased_step> steps;
-  int64_t wait_ms = 0;  // the caller waits so long; 0: no bound
+  int64_t wait_ms = 0;   // the caller waits so long; 0: no bound
   bool durable = false;  // accepted means stored: asked for, not done yet
 };
 
@@ -90,18 +90,19 @@
 struct leased_job {
   leased_seq seq;
   std::string id;
-  queue_config queue;  // a copy: a change of configuration leaves the job as it is
+  queue_config
+      queue;  // a copy: a change of configuration leaves the job as it is
   std::string payload;
   std::vector<leased_step> steps;
   std::vector<uint32_t> step_left;  // tasks of each step not done
   std::vector<leased_task_row> tasks;
-  std::vector<uint32_t> waiting;  // indices into `tasks`
+  std::vector<uint32_t> waiting;   // indices into `tasks`
   std::vector<ticket_id> tickets;  // callers that wait for the answer
   micros arrival{0};
-  micros deadline{0};      // callers wait no longer; 0: no bound
-  micros late_from{0};     // done later than this, it is late
+  micros deadline{0};        // callers wait no longer; 0: no bound
+  micros late_from{0};       // done later than this, it is late
   micros worthless_from{0};  // ... and later than this, of no use
-  micros expected{0};      // its longest chain of work
+  micros expected{0};        // its longest chain of work
   uint32_t placed = 0;
   uint32_t done = 0;
   bool started = false;  // a run was ordered: it can't be refused any more
@@ -124,10 +125,10 @@
   std::map<run_ref, leased_seq> open;  // ordered, no end heard
   // Runs ordered of a sidecar life that is gone; over at the given time.
   std::vector<std::pair<micros, std::vector<run_ref>>> orphaned;
-  double slowness = 1;      // run time against the expected, against all workers
+  double slowness = 1;  // run time against the expected, against all workers
   uint32_t samples = 0;
-  double failing = 0;       // share of recent runs that failed, decayed
-  micros avoid_until{0};    // refused or failed much: others first
+  double failing = 0;     // share of recent runs that failed, decayed
+  micros avoid_until{0};  // refused or failed much: others first
 };
 
 // What is learnt of a queue's jobs.
@@ -165,7 +166,7 @@
   std::unordered_map<ticket_id, leased_seq> tickets;
   std::set<std::pair<int64_t, leased_seq>> waiting;  // by order
   std::set<std::pair<micros, leased_seq>> deadlines;
-  std::vector<leased_worker> workers;  // by worker_id
+  std::vector<leased_worker> workers;               // by worker_id
   std::map<std::string, queue_estimate> estimates;  // by queue
   micros last_tick{0};
   micros settle_until{0};
--- a/include/cassiaferry/leases.h
+++ b/include/cassiaferry/leases.h
@@ -85,13 +85,13 @@
 };
 
 struct lease_orders {
-  int64_t echo = 0;  // newest stamp seen of the sidecar; vouches until then plus
-                     // the vouch bound, on the sidecar's clock
+  int64_t echo = 0;  // newest stamp seen of the sidecar; vouches until then
+                     // plus the vouch bound, on the sidecar's clock
   std::vector<run_start> starts;
   std::vector<run_ref> stops;
-  uint64_t acked_end = 0;   // ends up to this number may be forgotten
-  bool wants_room = false;  // tasks wait: tell of freed room at once
-  bool is_first = false;    // of a stream: `known` is complete
+  uint64_t acked_end = 0;      // ends up to this number may be forgotten
+  bool wants_room = false;     // tasks wait: tell of freed room at once
+  bool is_first = false;       // of a stream: `known` is complete
   std::vector<run_ref> known;  // runs ordered of this sidecar life, not ended
 };
 
--- a/src/apps/entry_app.cc
+++ b/src/apps/entry_app.cc
@@ -251,13 +251,16 @@
       loop_.Stop();
   });
   stopped_ = true;
-  background_.join();
-  links_->Finish();
+  // Callers' connections go first. Failure guarded against: a request that is
+  // read while the streams below are finished, which takes a while, and that
+  // nobody answers any more.
   if (callers_)
     callers_->Stop();
+  http_->Stop();
   if (ready_server_)
     ready_server_->Stop();
-  http_->Stop();
+  background_.join();
+  links_->Finish();
   outgoing_.Stop();
   outgoing_thread_.join();
   http_client_.Stop();
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -88,6 +88,7 @@
   void TakeConfigRow(const stored_row& row);
   void PublishAddress();
   void LogDecision(const leased_decision& decision);
+  void AnswerCaller(ticket_id ticket, http_response response);
   void ActLeased(entry_action& action);  // on the outgoing thread
 
   // Configuration and peers (entry_platform.cc).
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -88,12 +88,12 @@
 
 void entry_app::TakeCall(const http_request& r) {
   if (state_.document.version.value == 0) {
-    callers_->Answer(r.ticket, platform::NoConfigResponse());
+    AnswerCaller(r.ticket, platform::NoConfigResponse());
     return;
   }
   const queue_config* queue = MatchQueue(state_.config, r.host, r.path);
   if (queue == nullptr) {
-    callers_->Answer(r.ticket, platform::NoQueueResponse());
+    AnswerCaller(r.ticket, platform::NoQueueResponse());
     return;
   }
   const platform::caller_call call = platform::ReadCall(r, *queue);
@@ -105,18 +105,17 @@
       loop_.Post(leased_job_cancelled{r.ticket, call.job_id});
       return;
     case platform::caller_verb::state:
-      callers_->Answer(
-          r.ticket, platform::StateResponse(
-                        LeasedJobState(state_.leased, call.job_id)
-                            .value_or(nullptr)));
+      AnswerCaller(
+          r.ticket,
+          platform::StateResponse(
+              LeasedJobState(state_.leased, call.job_id).value_or(nullptr)));
       return;
     case platform::caller_verb::count:
-      callers_->Answer(r.ticket, platform::CountResponse(LeasedJobsWaiting(
-                                     state_.leased, queue->name)));
+      AnswerCaller(r.ticket, platform::CountResponse(LeasedJobsWaiting(
+                                 state_.leased, queue->name)));
       return;
     case platform::caller_verb::unknown:
-      callers_->Answer(r.ticket,
-                       platform::BadRequestResponse("no such call here"));
+      AnswerCaller(r.ticket, platform::BadRequestResponse("no such call here"));
       return;
   }
 }
@@ -126,7 +125,7 @@
   event.ticket = r.ticket;
   std::string error;
   if (!platform::ReadJob(r, event.request, error)) {
-    callers_->Answer(r.ticket, platform::BadRequestResponse(error));
+    AnswerCaller(r.ticket, platform::BadRequestResponse(error));
     return;
   }
   event.request.id = platform::ReadCall(r, queue).job_id;
@@ -183,12 +182,19 @@
   LogEvent(kPart, d.what, {{"job", d.job}, {"why", d.detail}});
 }
 
+// A stopping entry ends each connection with its answer. Failure guarded
+// against: callers that keep an open connection until the process is gone, and
+// lose the request they have just sent.
+void entry_app::AnswerCaller(ticket_id ticket, http_response response) {
+  response.close = draining_;
+  callers_->Answer(ticket, response);
+}
+
 void entry_app::ActLeased(entry_action& action) {
   if (auto* answer = std::get_if<answer_leased_job>(&action))
-    callers_->Answer(answer->ticket, platform::OutcomeResponse(*answer));
+    AnswerCaller(answer->ticket, platform::OutcomeResponse(*answer));
   else if (auto* cancelled = std::get_if<answer_cancelled>(&action))
-    callers_->Answer(cancelled->ticket,
-                     platform::CancelResponse(cancelled->known));
+    AnswerCaller(cancelled->ticket, platform::CancelResponse(cancelled->known));
   else if (auto* decision = std::get_if<leased_decision>(&action))
     LogDecision(*decision);
 }
--- a/src/apps/event_log.cc
+++ b/src/apps/event_log.cc
@@ -13,7 +13,8 @@
 
 namespace {
 
-// Lines a second; a busy process makes about 100, and a flood is of no more use.
+// Lines a second; a busy process makes about 100, and a flood is of no more
+// use.
 constexpr double kRate = 400;
 constexpr double kBurst = 800;
 
@@ -48,12 +49,13 @@
          static_cast<ssize_t>(line.size());
 }
 
-std::string MakeLine(const char* part, const char* what,
+std::string MakeLine(const char* part,
+                     const char* what,
                      const nlohmann::json& fields) {
   std::string line = R"({"at_ms":)" + std::to_string(WallMillis()) +
                      R"(,"part":")" + part + R"(","what":")" + what + "\"";
-  const std::string rest = fields.dump(
-      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  const std::string rest =
+      fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   if (rest.size() > 2)
     line += "," + rest.substr(1, rest.size() - 2);
   return line + "}\n";
@@ -61,7 +63,8 @@
 
 }  // namespace
 
-void LogEvent(const char* part, const char* what,
+void LogEvent(const char* part,
+              const char* what,
               const nlohmann::json& fields) {
   log_state& s = State();
   const std::lock_guard lock(s.mutex);
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -29,8 +29,7 @@
 // again: 0.31 + 0.54 / 0.98 of the time, and 50 ms, leave a tenth of it spare.
 lease_bounds BoundsFor(micros lease_max, micros resend_after) {
   lease_bounds bounds;
-  bounds.lease =
-      std::min(lease_max, micros{resend_after.value * 54 / 100});
+  bounds.lease = std::min(lease_max, micros{resend_after.value * 54 / 100});
   bounds.vouch = micros{resend_after.value * 31 / 100};
   return bounds;
 }
@@ -54,7 +53,9 @@
   owner.due = true;
 }
 
-void EndRun(keeper_state& k, micros now, const leased_task& task,
+void EndRun(keeper_state& k,
+            micros now,
+            const leased_task& task,
             run_end_kind how) {
   const auto it = k.runs.find(task);
   const kept_run run = std::move(it->second);
@@ -81,8 +82,7 @@
 // seconds later, when its task runs elsewhere. The start names the moment, on
 // the worker's clock, at which its lease ends; past that the worker refuses it.
 int64_t GrantLease(keeper_state& k, micros now) {
-  k.lease_over =
-      std::max(k.lease_over, now + LapsedAfter(k.options.bounds));
+  k.lease_over = std::max(k.lease_over, now + LapsedAfter(k.options.bounds));
   return WorkerClock(k, now) + ToMillis(k.options.bounds.lease);
 }
 
@@ -115,6 +115,12 @@
   return it != k.owners.end() && now <= it->second.vouched_until;
 }
 
+micros LookWait(const keeper_state& k, micros now) {
+  const bool lossy =
+      k.last_loss.value != 0 && now - k.last_loss < k.options.lossy_for;
+  return lossy ? k.options.lossy_look_wait : k.options.look_wait;
+}
+
 void CallLook(keeper_state& k, micros now) {
   k.looks_open = ++k.looks_sent;
   k.look_called = now;
@@ -126,7 +132,7 @@
   // or lapses.
   const bool extends = k.opened && k.has_clock && !k.runs.empty();
   look.lease_until_ms = extends ? GrantLease(k, now) : 0;
-  look.wait_ms = k.opened ? ToMillis(k.options.look_wait) : 0;
+  look.wait_ms = k.opened ? ToMillis(LookWait(k, now)) : 0;
   look.timeout_ms = look.wait_ms + ToMillis(k.options.call_timeout);
   k.actions.emplace_back(std::move(look));
 }
@@ -244,7 +250,9 @@
   CallStart(k, now, row);
 }
 
-void TakeRunStop(keeper_state& k, micros now, incarnation owner,
+void TakeRunStop(keeper_state& k,
+                 micros now,
+                 incarnation owner,
                  const run_ref& ref) {
   const auto it = k.runs.find(ref.task);
   if (it != k.runs.end() && it->second.owner == owner &&
@@ -302,7 +310,9 @@
 // A start that was refused leaves nothing behind, unless an earlier copy of it
 // got no answer and may still be carried out: then a stop marks the run as
 // over on the worker first.
-void StartRefused(keeper_state& k, micros now, kept_run& run,
+void StartRefused(keeper_state& k,
+                  micros now,
+                  kept_run& run,
                   run_end_kind how) {
   if (run.tries > 1)
     StopRun(k, now, run);
@@ -345,6 +355,7 @@
       StartRefused(k, now, run, run_end_kind::never_started);
       return;
     case worker_answer::none:
+      k.last_loss = now;
       RetryStart(k, now, run);
       return;
   }
@@ -397,8 +408,7 @@
   }
   for (const leased_task& task : over) {
     const bool stopped = k.runs[task].state == run_state::stopping;
-    EndRun(k, now, task,
-           stopped ? run_end_kind::stopped : run_end_kind::lost);
+    EndRun(k, now, task, stopped ? run_end_kind::stopped : run_end_kind::lost);
   }
   for (const run_ref& ref : listed) {
     const auto it = k.runs.find(ref.task);
@@ -406,9 +416,8 @@
     if (!known && k.strays.emplace(ref, now).second)
       CallStop(k, ref);
   }
-  std::erase_if(k.strays, [&](const auto& row) {
-    return listed.count(row.first) == 0;
-  });
+  std::erase_if(k.strays,
+                [&](const auto& row) { return listed.count(row.first) == 0; });
 }
 
 void TakeLook(keeper_state& k, micros now, const look_answered& e) {
@@ -422,6 +431,8 @@
     RaiseFence(k);
     return;
   }
+  if (e.answer == worker_answer::none)
+    k.last_loss = now;
   if (e.answer != worker_answer::ok)
     return;
   const bool was_suspect = !TakesLeasedWork(k, now);
@@ -475,8 +486,8 @@
   if (!k.runs.empty() && now > k.lease_over + k.options.bounds.margin &&
       now - k.last_answer > k.options.suspect_after)
     EndAll(k, now, run_end_kind::lost);
-  const micros leases_of_others = LapsedAfter(k.options.bounds) +
-                                  k.options.bounds.lease;
+  const micros leases_of_others =
+      LapsedAfter(k.options.bounds) + k.options.bounds.lease;
   if (k.has_worker && !k.opened && now - k.life_since > leases_of_others)
     Open(k, now);
 }
@@ -554,8 +565,8 @@
                 incarnation owner_name,
                 lease_orders orders) {
   run_owner& owner = k.owners[owner_name];
-  owner.vouched_until = std::max(
-      owner.vouched_until, micros{orders.echo} + k.options.bounds.vouch);
+  owner.vouched_until = std::max(owner.vouched_until,
+                                 micros{orders.echo} + k.options.bounds.vouch);
   AckEnds(owner, orders.acked_end);
   owner.wants_room = orders.wants_room;
   if (orders.is_first)
@@ -576,8 +587,8 @@
 }
 
 bool TakesLeasedWork(const keeper_state& k, micros now) {
-  return k.has_worker && k.opened && k.has_clock && !k.draining && !k.stopping &&
-         now - k.last_answer <= k.options.suspect_after;
+  return k.has_worker && k.opened && k.has_clock && !k.draining &&
+         !k.stopping && now - k.last_answer <= k.options.suspect_after;
 }
 
 room FreeRoom(const keeper_state& k) {
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -47,7 +47,9 @@
   return {row.task, row.run};
 }
 
-void Log(entry_state& s, const char* what, const leased_job& job,
+void Log(entry_state& s,
+         const char* what,
+         const leased_job& job,
          std::string detail) {
   s.actions.push_back(leased_decision{what, job.id, std::move(detail)});
 }
@@ -107,24 +109,29 @@
 
 // ---- [2] Answers ------------------------------------------------------------
 
-void AnswerAll(entry_state& s, const leased_job& job, leased_outcome outcome,
+void AnswerAll(entry_state& s,
+               const leased_job& job,
+               leased_outcome outcome,
                const failure& why) {
   for (ticket_id ticket : job.tickets)
     s.actions.push_back(answer_leased_job{ticket, outcome, why});
 }
 
-void Conclude(entry_state& s, micros now, leased_job& job,
-              leased_outcome outcome, const failure& why) {
+void Conclude(entry_state& s,
+              micros now,
+              leased_job& job,
+              leased_outcome outcome,
+              const failure& why) {
   leased_counters& c = s.leased.counters;
   constexpr const char* kWhat[] = {"job completed", "job failed",
                                    "job cancelled", "job refused"};
   uint64_t* const kCount[] = {&c.jobs_completed, &c.jobs_failed,
                               &c.jobs_cancelled, &c.jobs_refused};
   ++*kCount[static_cast<size_t>(outcome)];
-  std::string detail = "age_ms " + std::to_string(ToMillis(now - job.arrival)) +
-                       ", expected_ms " + std::to_string(ToMillis(job.expected)) +
-                       ", tasks " + std::to_string(job.tasks.size()) +
-                       ", done " + std::to_string(job.done);
+  std::string detail =
+      "age_ms " + std::to_string(ToMillis(now - job.arrival)) +
+      ", expected_ms " + std::to_string(ToMillis(job.expected)) + ", tasks " +
+      std::to_string(job.tasks.size()) + ", done " + std::to_string(job.done);
   if (!why.message.empty())
     detail += ", " + why.message;
   Log(s, kWhat[static_cast<size_t>(outcome)], job, std::move(detail));
@@ -133,7 +140,9 @@
   Erase(s, job);
 }
 
-void RefuseTicket(entry_state& s, ticket_id ticket, const std::string& id,
+void RefuseTicket(entry_state& s,
+                  ticket_id ticket,
+                  const std::string& id,
                   failure why) {
   ++s.leased.counters.jobs_refused;
   s.actions.push_back(leased_decision{"job refused", id, why.message});
@@ -154,8 +163,8 @@
     finish[i] = start + std::max<int64_t>(1, job.steps[i].expected_ms);
     longest = std::max(longest, finish[i]);
   }
-  return micros{static_cast<int64_t>(static_cast<double>(longest) * 1000 *
-                                     ratio)};
+  return micros{
+      static_cast<int64_t>(static_cast<double>(longest) * 1000 * ratio)};
 }
 
 void SetBounds(leased_job& job, micros now, micros wait, double ratio) {
@@ -219,7 +228,8 @@
 
 // A job that no worker ever seen could hold is told so at once. Before any
 // worker is known it waits: the first announcement may be a second away.
-bool CanEverRun(const entry_state& s, const queue_config& queue,
+bool CanEverRun(const entry_state& s,
+                const queue_config& queue,
                 const std::vector<leased_step>& steps) {
   bool any = false;
   for (const leased_step& step : steps) {
@@ -262,8 +272,9 @@
     return;
   }
   if (s.draining && now - s.drain_since >= l.options.drain_accept) {
-    RefuseTicket(s, event.ticket, r.id,
-                 {verdict::not_run, reason::draining, "this entry stops", 1000});
+    RefuseTicket(
+        s, event.ticket, r.id,
+        {verdict::not_run, reason::draining, "this entry stops", 1000});
     return;
   }
   if (!CheckSteps(r.steps)) {
@@ -307,8 +318,9 @@
   // A caller that has gone sends its job again, to any entry: whatever runs
   // here has to be over by then.
   if (job.tickets.empty())
-    Conclude(s, now, job, leased_outcome::cancelled,
-             {verdict::may_have_run, reason::cancelled, "the caller has gone", 0});
+    Conclude(
+        s, now, job, leased_outcome::cancelled,
+        {verdict::may_have_run, reason::cancelled, "the caller has gone", 0});
 }
 
 bool CancelLeasedJob(entry_state& s, micros now, const std::string& id) {
@@ -324,16 +336,19 @@
 
 // ---- [4] Ends ---------------------------------------------------------------
 
-void LearnFromRun(entry_state& s, leased_worker& w, const leased_job& job,
-                  const leased_task_row& row, const run_end& end) {
+void LearnFromRun(entry_state& s,
+                  leased_worker& w,
+                  const leased_job& job,
+                  const leased_task_row& row,
+                  const run_end& end) {
   const int64_t declared = job.steps[row.task.step].expected_ms;
   w.failing = w.failing * kFailingKeep +
               (end.how == run_end_kind::failed ? 1 - kFailingKeep : 0);
   if (end.how != run_end_kind::done || declared <= 0)
     return;
   queue_estimate& estimate = s.leased.estimates[job.queue.name];
-  const double ratio = static_cast<double>(end.run_ms) /
-                       static_cast<double>(declared);
+  const double ratio =
+      static_cast<double>(end.run_ms) / static_cast<double>(declared);
   estimate.ratio = estimate.ratio * kEstimateKeep + ratio * (1 - kEstimateKeep);
   const double against = ratio / std::max(0.01, estimate.ratio);
   w.slowness = w.slowness * kSlownessKeep + against * (1 - kSlownessKeep);
@@ -348,7 +363,9 @@
   return nullptr;
 }
 
-void FinishLeasedTask(entry_state& s, micros now, leased_job& job,
+void FinishLeasedTask(entry_state& s,
+                      micros now,
+                      leased_job& job,
                       leased_task_row& row) {
   row.state = leased_task_state::done;
   ++job.done;
@@ -359,8 +376,11 @@
     ReleaseTasks(s.leased, job);
 }
 
-void RetryTask(entry_state& s, micros now, leased_job& job,
-               leased_task_row& row, run_end_kind how) {
+void RetryTask(entry_state& s,
+               micros now,
+               leased_job& job,
+               leased_task_row& row,
+               run_end_kind how) {
   if (how == run_end_kind::superseded)
     row.run += kRunStep;
   if (how == run_end_kind::failed && ++row.failed >= job.queue.max_attempts) {
@@ -386,7 +406,8 @@
   w.open.erase(open);
   ++s.leased.counters.runs_ended[static_cast<size_t>(end.how)];
   leased_job* job = Find(s.leased, seq);
-  leased_task_row* row = job == nullptr ? nullptr : FindTask(*job, end.ref.task);
+  leased_task_row* row =
+      job == nullptr ? nullptr : FindTask(*job, end.ref.task);
   if (row == nullptr || row->state != leased_task_state::placed ||
       row->run != end.ref.run)
     return;
@@ -423,8 +444,9 @@
   }
 }
 
-// Failure guarded against: a sidecar is gone, or out of reach, with runs of this
-// entry. They are over, by the bounds of leases, some time after its last word.
+// Failure guarded against: a sidecar is gone, or out of reach, with runs of
+// this entry. They are over, by the bounds of leases, some time after its last
+// word.
 void EndOrphans(entry_state& s, micros now, worker_id id) {
   leased_worker& w = s.leased.workers[id.value];
   std::vector<run_ref> over;
@@ -450,7 +472,9 @@
 
 }  // namespace
 
-void GreetLeases(entry_state& s, worker_id id, bool same_life,
+void GreetLeases(entry_state& s,
+                 worker_id id,
+                 bool same_life,
                  entry_frame& frame) {
   leased_worker& w = WorkerOf(s, id);
   w.starts_sent = 0;
@@ -480,7 +504,9 @@
   w.takes_work = false;
 }
 
-void TakeReports(entry_state& s, micros now, worker_id id,
+void TakeReports(entry_state& s,
+                 micros now,
+                 worker_id id,
                  const lease_reports& reports) {
   leased_worker& w = WorkerOf(s, id);
   w.stamp = reports.stamp;
@@ -521,12 +547,13 @@
 }
 
 bool HasLabel(const leased_worker& w, const std::string& label) {
-  return label.empty() ||
-         std::find(w.info.labels.begin(), w.info.labels.end(), label) !=
-             w.info.labels.end();
+  return label.empty() || std::find(w.info.labels.begin(), w.info.labels.end(),
+                                    label) != w.info.labels.end();
 }
 
-bool MayTake(const entry_state& s, worker_id id, const leased_job& job,
+bool MayTake(const entry_state& s,
+             worker_id id,
+             const leased_job& job,
              const leased_step& step) {
   const leased_worker& w = s.leased.workers[id.value];
   return s.workers[id.value].state == worker_link::up && w.takes_work &&
@@ -548,15 +575,17 @@
   constexpr double kFailingWeight = 4;
   constexpr double kAvoidWeight = 10;
   const room left = FreeNow(w) - need;
-  const double used = 1 - static_cast<double>(left.cpu) /
-                              static_cast<double>(std::max<int64_t>(
-                                  1, w.info.capacity.cpu));
+  const double used =
+      1 - static_cast<double>(left.cpu) /
+              static_cast<double>(std::max<int64_t>(1, w.info.capacity.cpu));
   return used + (w.slowness - 1) + w.failing * kFailingWeight +
          (w.avoid_until > now ? kAvoidWeight : 0);
 }
 
-std::optional<worker_id> ChooseWorker(entry_state& s, micros now,
-                                      const leased_job& job, uint32_t step) {
+std::optional<worker_id> ChooseWorker(entry_state& s,
+                                      micros now,
+                                      const leased_job& job,
+                                      uint32_t step) {
   const leased_step& needs = job.steps[step];
   std::vector<worker_id> fitting;
   for (uint32_t i = 0; i < s.leased.workers.size(); ++i) {
@@ -583,7 +612,10 @@
   return best;
 }
 
-void PlaceTask(entry_state& s, micros now, leased_job& job, uint32_t index,
+void PlaceTask(entry_state& s,
+               micros now,
+               leased_job& job,
+               uint32_t index,
                worker_id id) {
   leased_task_row& row = job.tasks[index];
   leased_worker& w = s.leased.workers[id.value];
@@ -674,8 +706,8 @@
   }
   for (leased_seq seq : refuse)
     Conclude(s, now, s.leased.jobs[seq], leased_outcome::refused,
-             {verdict::not_run, reason::deadline_unreachable,
-              "no room in time", RetryAfterMs(s)});
+             {verdict::not_run, reason::deadline_unreachable, "no room in time",
+              RetryAfterMs(s)});
 }
 
 void CheckLeasedDeadlines(entry_state& s, micros now) {
--- /dev/null
+++ b/src/emulator/leased_world.h
@@ -0,0 +1,237 @@
+// Emulator: entries and sidecars with their real decisions, on virtual time,
+// with workers, callers, a network and faults drawn from a seed.
+//
+// While it runs it checks, from what workers and callers see, what must hold at
+// all times; what is broken is listed with the moment and the task.
+//
+// Contents
+//   [1] Options
+//   [2] Workers
+//   [3] Processes and streams
+//   [4] Callers
+//   [5] The world
+
+#ifndef CASSIAFERRY_SRC_EMULATOR_LEASED_WORLD_H_
+#define CASSIAFERRY_SRC_EMULATOR_LEASED_WORLD_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cassiaferry/entry.h"
+#include "cassiaferry/sidecar.h"
+
+namespace cassiaferry::emulator {
+
+// ---- [1] Options ------------------------------------------------------------
+
+struct world_options {
+  uint64_t seed = 1;
+  int entries = 3;
+  int workers = 4;
+  room capacity{16'000, 65'536, 0};
+  micros link_delay{800};       // one way, entry to sidecar
+  micros worker_delay{150};     // one way, sidecar to its worker
+  micros caller_delay = Millis(2);
+  micros resend_after = Millis(1300);  // a caller without an answer
+  micros announce_every = Millis(1000);
+  micros restart_after = Millis(500);  // of a killed process
+  lease_bounds bounds;  // set from `resend_after` by MakeWorld
+};
+
+// ---- [2] Workers ------------------------------------------------------------
+
+struct worker_run {
+  uint32_t run = 0;
+  room need;
+  micros since{0};
+  micros ends{0};
+  bool will_fail = false;
+};
+
+struct emulated_worker {
+  std::string life;
+  uint64_t lives = 0;
+  bool up = true;
+  bool silent = false;     // answers nothing, and goes on
+  bool hangs = false;      // what runs there stands still
+  bool fails_all = false;
+  bool draining = false;
+  double slowness = 1;
+  double late_share = 0;   // of orders: no answer, carried out seconds later
+  double clock_rate = 1;   // against true time
+  micros clock_origin{0};
+  uint64_t announcements = 0;
+  uint64_t fence = 0;
+  int64_t lease_until_ms = 0;  // on its own clock
+  uint64_t next_end = 1;
+  std::vector<listed_end> ended;
+  std::map<leased_task, worker_run> runs;
+  std::map<leased_task, uint32_t> over;  // highest run stopped or ended
+  uint64_t starts = 0;
+};
+
+// ---- [3] Processes and streams ----------------------------------------------
+
+enum class process_state : uint8_t { up, frozen, down };
+
+struct emulated_entry {
+  process_state state = process_state::up;
+  uint64_t lives = 0;
+  std::unique_ptr<entry_state> core;
+  std::vector<entry_event> inbox;
+  bool tick_due = false;
+};
+
+struct emulated_sidecar {
+  process_state state = process_state::up;
+  uint64_t lives = 0;
+  std::unique_ptr<sidecar_state> core;
+  std::vector<sidecar_event> inbox;
+  bool tick_due = false;
+};
+
+// One stream that a sidecar dialled.
+struct emulated_stream {
+  int sidecar = 0;
+  int entry = 0;
+  uint64_t sidecar_life = 0;
+  uint64_t entry_life = 0;
+  entry_id link;       // at the sidecar
+  link_epoch epoch;
+  link_id accepted;    // at the entry
+  bool open = true;
+};
+
+// ---- [4] Callers ------------------------------------------------------------
+
+enum class job_fate : uint8_t { open, completed, failed, refused, given_up };
+
+struct emulated_job {
+  std::string id;
+  std::string queue;
+  std::vector<leased_step> steps;
+  std::vector<int64_t> run_ms;  // of each task
+  bool hopeless = false;        // every run of it fails
+  int64_t wait_ms = 0;
+  micros first_sent{0};
+  micros answered{0};
+  job_fate fate = job_fate::open;
+  int sends = 0;
+  int entry = -1;          // where it was sent last
+  uint64_t entry_life = 0;
+  uint64_t ticket = 0;     // of the newest send
+  bool started = false;    // a worker began a task of it
+};
+
+// ---- [5] The world ----------------------------------------------------------
+
+struct violation {
+  micros at{0};
+  std::string what;
+};
+
+struct world {
+  explicit world(world_options options);
+
+  void Pass(micros time);
+  void Submit(emulated_job job);  // from a caller, to a random entry
+  void SubmitTo(int entry, emulated_job job);
+
+  void KillEntry(int entry);
+  void KillSidecar(int sidecar);
+  void FreezeEntry(int entry, micros time);
+  void FreezeSidecar(int sidecar, micros time);
+  void CrashWorker(int worker, micros down_for);
+  void DrainWorker(int worker);
+  void Cut(int entry, int sidecar, micros time);
+  // The connection breaks; its entry sees that after `seen_after`.
+  void DropCaller(const std::string& job, micros seen_after = micros{0});
+
+  size_t Count(job_fate fate) const;
+  room UsedBy(int worker) const;
+
+  world_options options;
+  std::mt19937_64 random;
+  micros now = Millis(1000);
+  std::vector<emulated_worker> workers;
+  std::vector<emulated_entry> entries;
+  std::vector<emulated_sidecar> sidecars;
+  std::map<std::string, emulated_job> jobs;
+  std::vector<violation> violations;
+  uint64_t overlaps_checked = 0;
+
+ private:
+  using action = std::function<void()>;
+  struct timed_action {
+    micros at;
+    uint64_t order;
+    action run;
+    bool operator<(const timed_action& other) const {
+      return std::pair(at, order) > std::pair(other.at, other.order);
+    }
+  };
+
+  void At(micros time, action run);
+  double Chance();
+  void Broken(const std::string& what);
+
+  void StartEntry(int entry);
+  void StartSidecar(int sidecar);
+  void TickEntry(int entry);
+  void TickSidecar(int sidecar);
+  void WakeEntry(int entry);
+  void WakeSidecar(int sidecar);
+  void Act(int entry, entry_action& action);
+  void Act(int sidecar, sidecar_action& action);
+  void Dial(int sidecar, const dial_entry& dial);
+  void CloseStream(const std::shared_ptr<emulated_stream>& stream);
+  std::shared_ptr<emulated_stream> StreamOf(int sidecar, entry_id link);
+  std::shared_ptr<emulated_stream> StreamOf(int entry, link_id accepted);
+  // Carries a frame, held up while the pair is cut.
+  void Carry(const std::shared_ptr<emulated_stream>& stream, action deliver);
+
+  void CallWorker(int sidecar, const keeper_action& call);
+  void Deliver(int sidecar, uint64_t life, keeper_event event);
+  bool AnswersOrders(const emulated_worker& w, const std::string& life) const;
+  int64_t ClockOf(const emulated_worker& w) const;
+  worker_answer DoStart(int worker, const call_run_start& call);
+  worker_answer DoStop(int worker, const call_run_stop& call);
+  look_answered DoLook(int worker, const call_look& call);
+  void EndRun(emulated_worker& w, const leased_task& task, run_end_kind how);
+  void AdvanceWorker(int worker);
+  void AnnounceWorker(int worker);
+  void CheckStart(int worker, const run_start& start);
+
+  void Send(const std::string& job, int entry);
+  void Answered(int entry, const answer_leased_job& answer);
+  void Unanswered(const std::string& job, uint64_t ticket);
+
+  std::priority_queue<timed_action> queue_;
+  uint64_t next_order_ = 1;
+  uint64_t next_life_ = 1;
+  uint64_t next_link_ = 1;
+  uint64_t next_ticket_ = 1;
+  std::vector<std::shared_ptr<emulated_stream>> streams_;
+  std::map<std::pair<int, int>, micros> cut_until_;  // by entry, sidecar
+  std::map<std::pair<int, uint64_t>, std::string> tickets_;  // entry, ticket
+};
+
+// A job of one step.
+emulated_job MakeJob(const std::string& id,
+                     uint32_t tasks,
+                     int64_t cpu,
+                     int64_t run_ms);
+
+constexpr char kQueue[] = "bookings";
+
+}  // namespace cassiaferry::emulator
+
+#endif  // CASSIAFERRY_SRC_EMULATOR_LEASED_WORLD_H_
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -137,6 +137,8 @@
                       std::to_string(response.retry_after_s));
   if (response.not_run)
     out.append_header("Cassiaferry-Not-Run", "1");
+  if (response.close)
+    out.connection_close();
   out.set_body(response.body);
   out.done();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -34,6 +34,7 @@
   std::string body;
   std::string content_type = "application/json";
   int64_t retry_after_s = 0;  // 0: no such header
+  bool close = false;         // ends the connection after this answer
   bool not_run = false;       // adds "Cassiaferry-Not-Run: 1", for upstreams
 };
 
--- a/src/net/row_store.h
+++ b/src/net/row_store.h
@@ -40,8 +40,8 @@
   // All rows of the table.
   std::function<void(const std::string& table, callback)> get;
   // Changes after a version: answers when there is one, or after `wait_ms`.
-  std::function<void(const std::string& table, uint64_t after, int64_t wait_ms,
-                     callback)>
+  std::function<
+      void(const std::string& table, uint64_t after, int64_t wait_ms, callback)>
       feed;
   // Sets one row, whatever it holds.
   std::function<void(const stored_row& row, callback)> put;
--- a/src/net/row_watch.cc
+++ b/src/net/row_watch.cc
@@ -63,7 +63,8 @@
                                options_.backoff_most.value)};
     ++failures_;
     must_read_ = true;
-    next_call_ = reply.status == store_status::history_gone ? now_ : now_ + wait;
+    next_call_ =
+        reply.status == store_status::history_gone ? now_ : now_ + wait;
     return;
   }
   failures_ = 0;
--- a/src/net/row_watch.h
+++ b/src/net/row_watch.h
@@ -28,7 +28,7 @@
   // Between whole reads. Failure guarded against: a feed that hears nothing,
   // while changes are made, and says so to nobody.
   micros reread = Millis(30'000);
-  micros backoff = Millis(100);  // after a failed call, ...
+  micros backoff = Millis(100);       // after a failed call, ...
   micros backoff_most = Millis(500);  // ... doubled up to this
 };
 
@@ -45,7 +45,7 @@
             post_function post,
             row_function on_row);
 
-  void Tick(micros now);  // calls the store when it is time
+  void Tick(micros now);                     // calls the store when it is time
   bool IsLoaded() const { return loaded_; }  // the table was read whole, once
   bool IsConnected() const { return failures_ == 0; }
 
@@ -58,7 +58,7 @@
   row_watch_options options_;
   post_function post_;
   row_function on_row_;
-  bool open_ = false;    // a call is under way
+  bool open_ = false;  // a call is under way
   bool loaded_ = false;
   bool must_read_ = true;
   uint64_t version_ = 0;
--- /dev/null
+++ b/tests/leased_unit_test.cc
@@ -0,0 +1,454 @@
+// Leased jobs: entries, sidecars and workers in the emulated world.
+//
+// Contents
+//   [1] Fixture
+//   [2] Calm
+//   [3] Failures of processes
+//   [4] Orders that get lost or come late
+//   [5] Seeded runs
+
+#include <catch2/catch.hpp>
+
+#include "emulator/leased_world.h"
+
+namespace cassiaferry::emulator {
+namespace {
+
+// ---- [1] Fixture ------------------------------------------------------------
+
+struct leased_jobs {
+  leased_jobs() : w(world_options{}) { w.Pass(Millis(1500)); }
+
+  void SubmitMany(int count, uint32_t tasks, int64_t cpu, int64_t run_ms) {
+    for (int i = 0; i < count; ++i)
+      w.Submit(MakeJob("job-" + std::to_string(next++), tasks, cpu, run_ms));
+  }
+
+  // Which worker runs a task of the job; -1: none.
+  int WorkerOf(const std::string& job) const {
+    for (size_t i = 0; i < w.workers.size(); ++i) {
+      for (const auto& [task, run] : w.workers[i].runs) {
+        if (task.job == job)
+          return static_cast<int>(i);
+      }
+    }
+    return -1;
+  }
+
+  void RequireNothingBroken() const {
+    for (const violation& v : w.violations)
+      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
+    REQUIRE(w.violations.empty());
+  }
+
+  world w;
+  int next = 0;
+};
+
+// A keeper with a worker that answers, and one owner.
+struct one_keeper {
+  one_keeper() : k(MakeKeeper(keeper_options{})) {
+    TakeKeeperEvent(k, now, Announcement("life"));
+    TickKeeper(k, now);
+    Look({});
+  }
+
+  static leased_worker_announced Announcement(const std::string& life) {
+    leased_worker_announced e;
+    e.info.life = life;
+    e.info.capacity = {16'000, 1000, 0};
+    return e;
+  }
+
+  static run_ref Ref(const std::string& job, uint32_t run) {
+    return {{job, 0, 0, 0}, run};
+  }
+
+  lease_orders Order(const std::string& job, uint32_t run) const {
+    lease_orders orders;
+    orders.echo = now.value;
+    orders.starts.push_back({Ref(job, run), {1000, 10, 0}, ""});
+    return orders;
+  }
+
+  // The look under way is answered, and the next one sent.
+  void Look(const std::vector<run_ref>& running) {
+    look_answered e;
+    e.life = "life";
+    e.answer = worker_answer::ok;
+    e.clock_ms = ToMillis(now);
+    e.running = running;
+    TakeKeeperEvent(k, now, e);
+    TickKeeper(k, now);
+  }
+
+  template <typename Call>
+  std::vector<Call> Calls() const {
+    std::vector<Call> calls;
+    for (const keeper_action& a : k.actions) {
+      if (const auto* call = std::get_if<Call>(&a))
+        calls.push_back(*call);
+    }
+    return calls;
+  }
+
+  static constexpr incarnation kOwner{7};
+  micros now = Millis(1000);
+  keeper_state k;
+};
+
+// ---- [2] Calm ---------------------------------------------------------------
+
+TEST_CASE_METHOD(leased_jobs, "jobs_calm_completed_within_their_work") {
+  SubmitMany(20, 4, 1000, 100);
+  w.Pass(Millis(400));
+  REQUIRE(w.Count(job_fate::completed) == 20);
+  RequireNothingBroken();
+}
+
+TEST_CASE_METHOD(leased_jobs, "step_that_waits_calm_starts_after_the_other") {
+  emulated_job job = MakeJob("two-steps", 3, 1000, 100);
+  leased_step second = job.steps[0];
+  second.after = {0};
+  job.steps.push_back(second);
+  w.Submit(std::move(job));
+  w.Pass(Millis(120));
+  REQUIRE(w.Count(job_fate::completed) == 0);
+  w.Pass(Millis(150));
+  REQUIRE(w.Count(job_fate::completed) == 1);
+}
+
+TEST_CASE_METHOD(leased_jobs, "job_hopeless_failed_after_its_attempts") {
+  emulated_job job = MakeJob("hopeless", 1, 1000, 20);
+  job.hopeless = true;
+  w.Submit(std::move(job));
+  w.Pass(Millis(500));
+  REQUIRE(w.jobs["hopeless"].fate == job_fate::failed);
+  uint64_t starts = 0;
+  for (const emulated_worker& worker : w.workers)
+    starts += worker.starts;
+  REQUIRE(starts == 3);
+}
+
+// What a user sees: a booking that could never be served is kept waiting until
+// the caller gives up. Cause: nobody compares what it needs with what workers
+// have.
+TEST_CASE_METHOD(leased_jobs, "job_larger_than_any_worker_refused_at_once") {
+  w.Submit(MakeJob("huge", 1, 17'000, 20));
+  w.Pass(Millis(20));
+  REQUIRE(w.jobs["huge"].fate == job_fate::refused);
+}
+
+// What a user sees: under a burst, jobs wait until they are of no use, and then
+// run anyway. Order: 4 workers get ten times their load. Cause: no order and no
+// refusal. What can't be in time is refused, and never runs.
+TEST_CASE_METHOD(leased_jobs, "burst_beyond_room_refused_is_never_run") {
+  SubmitMany(400, 4, 4000, 200);
+  w.Pass(Millis(6000));
+  REQUIRE(w.Count(job_fate::open) == 0);
+  REQUIRE(w.Count(job_fate::refused) > 100);
+  REQUIRE(w.Count(job_fate::completed) > 20);
+  RequireNothingBroken();
+}
+
+// ---- [3] Failures of processes ----------------------------------------------
+
+// What a user sees: a confirmed field booked twice. Order: the entry that took
+// the job dies; the caller sends it again to another entry 1.3 s later, while
+// the first entry's runs still go on. Guard: nobody vouches for them any more,
+// and the sidecars stop them before that.
+TEST_CASE_METHOD(leased_jobs, "entry_killed_its_runs_are_over_before_a_resend") {
+  w.SubmitTo(0, MakeJob("long", 4, 1000, 5000));
+  w.Pass(Millis(100));
+  REQUIRE(WorkerOf("long") >= 0);
+  w.KillEntry(0);
+  w.Pass(Millis(1000));
+  REQUIRE(WorkerOf("long") == -1);
+  w.Pass(Millis(8000));
+  REQUIRE(w.jobs["long"].fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
+// What a user sees: the same double run. Order: the sidecar is frozen with the
+// runs of an entry that dies; nobody tells the worker to stop. Guard: the
+// worker's lease lapses, as only the sidecar extends it.
+TEST_CASE_METHOD(leased_jobs, "sidecar_frozen_and_entry_killed_lease_lapses") {
+  w.SubmitTo(0, MakeJob("long", 1, 1000, 5000));
+  w.Pass(Millis(100));
+  const int worker = WorkerOf("long");
+  w.FreezeSidecar(worker, Millis(4000));
+  w.KillEntry(0);
+  w.Pass(Millis(1250));
+  REQUIRE(WorkerOf("long") == -1);
+  w.Pass(Millis(8000));
+  REQUIRE(w.jobs["long"].fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
+// What a user sees: a job hangs until its caller gives up. Order: the sidecar
+// is frozen beyond its worker's lease; its entry can't learn what became of the
+// runs. Guard: after the bound on all leases the entry starts them elsewhere.
+TEST_CASE_METHOD(leased_jobs, "sidecar_frozen_runs_start_elsewhere_after_bound") {
+  w.SubmitTo(0, MakeJob("long", 1, 1000, 300));
+  w.Pass(Millis(50));
+  w.FreezeSidecar(WorkerOf("long"), Millis(10'000));
+  w.Pass(Millis(2000));
+  REQUIRE(w.jobs["long"].fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
+// Order: the sidecar is killed while its worker runs tasks. The next one knows
+// nothing of them: it starts nothing until they are stopped.
+TEST_CASE_METHOD(leased_jobs, "sidecar_killed_room_never_exceeded") {
+  for (int round = 0; round < 5; ++round) {
+    SubmitMany(30, 4, 3000, 400);
+    w.Pass(Millis(200));
+    w.KillSidecar(round % 4);
+    w.Pass(Millis(1500));
+  }
+  w.Pass(Millis(5000));
+  REQUIRE(w.Count(job_fate::open) == 0);
+  RequireNothingBroken();
+}
+
+// Order: the worker dies and comes back as a new life with the runs of the old
+// one lost. The owner hears so with the new life's first announcement.
+TEST_CASE_METHOD(leased_jobs, "worker_back_with_new_life_tasks_run_again") {
+  w.SubmitTo(0, MakeJob("long", 8, 1000, 2000));
+  w.Pass(Millis(100));
+  w.CrashWorker(WorkerOf("long"), Millis(300));
+  w.Pass(Millis(6000));
+  REQUIRE(w.jobs["long"].fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
+// Order: all entries die at once and come back. Callers send again, and all is
+// served.
+TEST_CASE_METHOD(leased_jobs, "all_entries_killed_resent_jobs_completed") {
+  SubmitMany(20, 2, 1000, 300);
+  w.Pass(Millis(50));
+  for (int i = 0; i < 3; ++i)
+    w.KillEntry(i);
+  w.Pass(Millis(6000));
+  REQUIRE(w.Count(job_fate::completed) == 20);
+  RequireNothingBroken();
+}
+
+// What a user sees: a job that was sent again runs twice. Order: the entry is
+// frozen, its caller's connection breaks, another entry takes the job; then the
+// first wakes with the job still waiting for a worker.
+TEST_CASE_METHOD(leased_jobs, "entry_frozen_and_caller_gone_nothing_restarts") {
+  for (int i = 0; i < 8; ++i)
+    w.SubmitTo(0, MakeJob("long-" + std::to_string(i), 2, 1000, 3000));
+  w.Pass(Millis(100));
+  // The entry reads the end of that connection shortly after it woke.
+  w.FreezeEntry(0, Millis(2500));
+  for (int i = 0; i < 8; ++i)
+    w.DropCaller("long-" + std::to_string(i), Millis(2530));
+  w.Pass(Millis(15'000));
+  REQUIRE(w.Count(job_fate::completed) == 8);
+  RequireNothingBroken();
+}
+
+// What a user sees: a job that was sent again runs twice. Order: an entry wakes
+// from a pause so short that its streams are still up; the end of a caller's
+// connection lies unread in its sockets. Guard: nothing starts until it had the
+// time to read them.
+TEST_CASE_METHOD(leased_jobs, "entry_paused_starts_nothing_until_it_has_read") {
+  w.Pass(Millis(50));
+  w.FreezeEntry(0, Millis(380));
+  w.SubmitTo(0, MakeJob("early", 1, 1000, 1000));
+  w.Pass(Millis(410));
+  REQUIRE(WorkerOf("early") == -1);
+  w.Pass(Millis(100));
+  REQUIRE(WorkerOf("early") >= 0);
+}
+
+// What a user sees: a worker over its room, or a task that runs twice. Order: a
+// start lies in the network for seconds; its owner has given it up, and started
+// the task elsewhere. It echoes a stamp that is too old to be taken.
+TEST_CASE_METHOD(one_keeper, "order_with_an_old_stamp_is_not_started") {
+  now = now + Millis(2000);
+  Look({});
+  lease_orders stale = Order("late", 1);
+  stale.echo = (now - k.options.bounds.vouch - micros{1}).value;
+  TakeOrders(k, now, kOwner, stale);
+  REQUIRE(Calls<call_run_start>().empty());
+  const lease_reports report = ReportFor(k, now, kOwner);
+  REQUIRE(report.ends.size() == 1);
+  REQUIRE(report.ends[0].how == run_end_kind::never_started);
+  TakeOrders(k, now, kOwner, Order("fresh", 1));
+  REQUIRE(Calls<call_run_start>().size() == 1);
+}
+
+// What a user sees: a task that runs twice. Order: the first copy of a start
+// gets no answer, the second is refused for want of room; the owner starts the
+// task elsewhere; then the first copy is carried out. Guard: the run is stopped
+// first, which keeps a late copy out for good.
+TEST_CASE_METHOD(one_keeper, "start_refused_after_a_lost_copy_is_stopped_first") {
+  TakeOrders(k, now, kOwner, Order("job", 1));
+  TakeKeeperEvent(k, now,
+                  run_start_answered{Ref("job", 1), "life", worker_answer::none});
+  TakeKeeperEvent(
+      k, now, run_start_answered{Ref("job", 1), "life", worker_answer::no_room});
+  REQUIRE(Calls<call_run_stop>().size() == 1);
+  REQUIRE(ReportFor(k, now, kOwner).ends.empty());
+  TakeKeeperEvent(k, now,
+                  run_stop_answered{Ref("job", 1), "life", worker_answer::ok});
+  Look({});
+  Look({});
+  const lease_reports report = ReportFor(k, now, kOwner);
+  REQUIRE(report.ends.size() == 1);
+  REQUIRE(report.ends[0].how == run_end_kind::stopped);
+}
+
+// Order: the clock of this machine went back between two sidecars, and the
+// second's fence is below what the worker has seen. It rises until it is taken.
+TEST_CASE_METHOD(one_keeper, "fence_below_what_was_seen_rises_and_start_repeats") {
+  TakeOrders(k, now, kOwner, Order("job", 1));
+  const uint64_t fence = Calls<call_run_start>().back().fence;
+  TakeKeeperEvent(
+      k, now,
+      run_start_answered{Ref("job", 1), "life", worker_answer::stale_fence});
+  REQUIRE(Calls<call_run_start>().size() == 2);
+  REQUIRE(Calls<call_run_start>().back().fence > fence);
+}
+
+// Order: an announcement of the worker's last life was held up by a cut, and
+// arrives after the new life's.
+TEST_CASE_METHOD(one_keeper, "announcement_of_a_past_life_is_ignored") {
+  leased_worker_announced second = Announcement("second");
+  TakeKeeperEvent(k, now, second);
+  TakeKeeperEvent(k, now, Announcement("life"));
+  REQUIRE(k.worker.life == "second");
+}
+
+// While calls get lost, looks are short: a lost one leaves ends unseen.
+TEST_CASE_METHOD(one_keeper, "look_lost_the_next_ones_wait_shorter") {
+  TakeOrders(k, now, kOwner, Order("job", 1));
+  Look({});
+  const int64_t calm = Calls<call_look>().back().wait_ms;
+  look_answered none;
+  none.life = "life";
+  TakeKeeperEvent(k, now, none);
+  now = now + Millis(200);
+  TickKeeper(k, now);
+  REQUIRE(Calls<call_look>().back().wait_ms < calm / 4);
+}
+
+// Order: the path between an entry and one sidecar is cut for 3 s; frames are
+// held up, not lost, and arrive when it heals. Orders among them are too old to
+// be taken.
+TEST_CASE_METHOD(leased_jobs, "link_cut_held_up_orders_are_not_taken") {
+  for (int i = 0; i < 30; ++i) {
+    SubmitMany(3, 4, 2000, 150);
+    if (i % 10 == 2)
+      w.Cut(i / 10, i / 10, Millis(3000));
+    w.Pass(Millis(100));
+  }
+  w.Pass(Millis(8000));
+  REQUIRE(w.Count(job_fate::open) == 0);
+  RequireNothingBroken();
+}
+
+TEST_CASE_METHOD(leased_jobs, "worker_draining_gets_nothing_new") {
+  w.DrainWorker(1);
+  w.Pass(Millis(1200));
+  const uint64_t before = w.workers[1].starts;
+  SubmitMany(40, 4, 1000, 50);
+  w.Pass(Millis(2000));
+  REQUIRE(w.workers[1].starts == before);
+  REQUIRE(w.Count(job_fate::completed) == 40);
+}
+
+// ---- [4] Orders that get lost or come late ----------------------------------
+
+// What a user sees: a task that runs twice, or a worker over its room. Order: a
+// start gets no answer; it is sent again, or given up; seconds later the first
+// copy is carried out. Guards: the same run number is the same run, a stop
+// marks it as over, and the lease named in a late copy has passed.
+TEST_CASE_METHOD(leased_jobs, "orders_late_never_two_runs_or_over_room") {
+  for (emulated_worker& worker : w.workers)
+    worker.late_share = 0.2;
+  for (int i = 0; i < 100; ++i) {
+    SubmitMany(2, 4, 2000, 100);
+    w.Pass(Millis(100));
+  }
+  w.Pass(Millis(15'000));
+  REQUIRE(w.Count(job_fate::open) == 0);
+  RequireNothingBroken();
+}
+
+// ---- [5] Seeded runs --------------------------------------------------------
+
+void PlayFault(world& w) {
+  const int entry = static_cast<int>(w.random() % w.entries.size());
+  const int worker = static_cast<int>(w.random() % w.workers.size());
+  emulated_worker& at = w.workers[static_cast<size_t>(worker)];
+  const micros time = Millis(static_cast<int64_t>(w.random() % 4000));
+  switch (w.random() % 9) {
+    case 0:
+      w.KillEntry(entry);
+      return;
+    case 1:
+      w.KillSidecar(worker);
+      return;
+    case 2:
+      w.FreezeEntry(entry, time);
+      return;
+    case 3:
+      w.FreezeSidecar(worker, time);
+      return;
+    case 4:
+      w.CrashWorker(worker, time);
+      return;
+    case 5:
+      w.Cut(entry, worker, time);
+      return;
+    case 6:
+      at.late_share = at.late_share > 0 ? 0 : 0.1;
+      return;
+    case 7:
+      at.silent = !at.silent;
+      return;
+    case 8:
+      for (const auto& [id, job] : w.jobs) {
+        if (job.fate == job_fate::open && w.random() % 8 == 0) {
+          w.DropCaller(std::string(id));
+          return;
+        }
+      }
+      return;
+  }
+}
+
+TEST_CASE("world_seeded_faults_no_promise_broken") {
+  for (uint64_t seed = 1; seed <= 25; ++seed) {
+    world_options options;
+    options.seed = seed;
+    world w(options);
+    w.Pass(Millis(1500));
+    for (int i = 0; i < 100; ++i) {
+      const auto tasks = static_cast<uint32_t>(1 + w.random() % 6);
+      const auto cpu = static_cast<int64_t>(500 + w.random() % 4000);
+      const auto run_ms = static_cast<int64_t>(30 + w.random() % 1500);
+      w.Submit(MakeJob("job-" + std::to_string(i), tasks, cpu, run_ms));
+      if (w.random() % 10 == 0)
+        PlayFault(w);
+      w.Pass(Millis(80));
+    }
+    for (emulated_worker& worker : w.workers) {
+      worker.silent = false;
+      worker.late_share = 0;
+    }
+    w.Pass(Millis(40'000));
+    INFO("seed " << seed);
+    for (const violation& v : w.violations)
+      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
+    REQUIRE(w.violations.empty());
+    REQUIRE(w.Count(job_fate::open) == 0);
+  }
+}
+
+}  // namespace
+}  // namespace cassiaferry::emulator
