Workers' pace: slow and hanging workers get probes only, their runs are moved

Change: the sidecar measures how far runs come against what is expected, entries place by it, and runs on slow workers are stopped and started elsewhere; a worker that fails most of what it starts gets one run at a time.

--- a/include/cassiaferry/lease_keeper.h
+++ b/include/cassiaferry/lease_keeper.h
@@ -39,6 +39,11 @@
   micros lossy_for = Millis(3000);  // since the newest call without an answer
   micros suspect_after = Millis(400);  // no answer of the worker for this long:
                                        // nothing new goes there
+  // A run is a straggler if what is left of it takes more than this many times
+  // what all of it should, at the worker's pace: moving it then gains.
+  double straggler_times = 1.3;
+  micros straggler_least = Millis(60);   // shorter runs are not worth a move
+  micros straggler_again = Millis(250);  // between two reports of one
   uint32_t start_tries = 3;  // then the run is stopped, and reported unstarted
   uint64_t first_fence = 1;  // above every earlier sidecar's of this worker
 };
@@ -83,11 +88,15 @@
   run_ref ref;
   run_end_kind how = run_end_kind::done;
 };
+struct listed_run {
+  run_ref ref;
+  uint32_t percent = 0;  // of its work, done
+};
 struct look_answered {
   std::string life;
   worker_answer answer = worker_answer::none;
   int64_t clock_ms = 0;  // the worker's clock when it answered
-  std::vector<run_ref> running;
+  std::vector<listed_run> running;
   std::vector<listed_end> ended;  // numbers above the look's `seen`
 };
 
@@ -122,7 +131,14 @@
   int64_t timeout_ms = 0;
 };
 
-using keeper_action = std::variant<call_run_start, call_run_stop, call_look>;
+// A belief that changed, for the log.
+struct keeper_note {
+  const char* what = "";
+  std::string detail;
+};
+
+using keeper_action =
+    std::variant<call_run_start, call_run_stop, call_look, keeper_note>;
 
 // ---- [4] State --------------------------------------------------------------
 
@@ -139,6 +155,9 @@
   micros called{0};        // newest call
   bool call_open = false;
   uint64_t looks_at_change = 0;  // looks sent when it was confirmed or stopped
+  uint32_t percent = 0;          // of its work, by the newest look
+  micros measured_at{0};         // that look
+  micros told_straggling{0};     // its owner was told that it takes long
 };
 
 // What is kept of one entry incarnation.
@@ -148,9 +167,10 @@
   bool wants_room = false;
   bool worker_told = false;  // on this stream
   uint64_t next_end = 1;
-  std::deque<run_end> ends;  // unacknowledged
-  size_t ends_told = 0;      // of `ends`, on this stream
-  bool due = false;          // a report should go out now
+  std::deque<run_end> ends;           // unacknowledged
+  size_t ends_told = 0;               // of `ends`, on this stream
+  bool due = false;                   // a report should go out now
+  std::vector<straggler> stragglers;  // not yet told
 };
 
 struct keeper_state {
@@ -181,7 +201,13 @@
   std::map<run_ref, micros> strays;  // runs there that nobody here ordered
   room used;
   std::map<incarnation, run_owner> owners;
-  room free_told;  // as last reported to those that wait for room
+  double pace = 1;       // work done against expected, decayed
+  double pace_work = 0;  // milliseconds of expected work done in the sample ...
+  micros pace_time{0};   // ... and the run time that it took
+  double pace_told = 1;
+  micros pace_at{0};        // when it was last measured
+  bool was_taking = false;  // for the log
+  room free_told;           // as last reported to those that wait for room
   std::vector<keeper_action> actions;
 };
 
--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -83,6 +83,8 @@
   leased_task_state state = leased_task_state::blocked;
   uint32_t run = 0;     // newest
   uint32_t failed = 0;  // runs that ended as failed
+  uint32_t moved = 0;   // runs that were stopped because they took too long
+  bool moving = false;  // the stop of this run is on its way
   worker_id worker;     // while placed
   micros placed_at{0};
 };
@@ -125,8 +127,7 @@
   std::map<run_ref, leased_seq> open;  // ordered, no end heard
   // Runs ordered of a sidecar life that is gone; over at the given time.
   std::vector<std::pair<micros, std::vector<run_ref>>> orphaned;
-  double slowness = 1;  // run time against the expected, against all workers
-  uint32_t samples = 0;
+  double pace = 1;        // work done against expected, as reported
   double failing = 0;     // share of recent runs that failed, decayed
   micros avoid_until{0};  // refused or failed much: others first
 };
@@ -168,6 +169,7 @@
   std::set<std::pair<micros, leased_seq>> deadlines;
   std::vector<leased_worker> workers;               // by worker_id
   std::map<std::string, queue_estimate> estimates;  // by queue
+  std::map<std::string, double> usual_pace;         // of workers, by upstream
   micros last_tick{0};
   micros settle_until{0};
   leased_counters counters;
--- a/include/cassiaferry/leases.h
+++ b/include/cassiaferry/leases.h
@@ -81,6 +81,7 @@
 struct run_start {
   run_ref ref;
   room need;
+  uint32_t expected_ms = 0;  // by the entry's estimate
   std::string payload;
 };
 
@@ -104,6 +105,13 @@
   uint32_t run_ms = 0;  // from the order to the end
 };
 
+// A run that takes much longer than expected, and how far it has come.
+struct straggler {
+  run_ref ref;
+  uint32_t run_ms = 0;
+  uint32_t percent = 0;
+};
+
 // The worker beside the sidecar, as it announced itself.
 struct leased_worker_info {
   std::string life;  // a new one with each start of the worker
@@ -120,6 +128,9 @@
   room free;
   std::optional<leased_worker_info> worker;  // on change, and first of a stream
   std::vector<run_end> ends;
+  uint32_t pace = 1000;  // work done against expected, thousandths: a slow
+                         // worker has less, one that stands still 0
+  std::vector<straggler> stragglers;
 };
 
 // ---- [5] Bounds -------------------------------------------------------------
--- a/src/apps/entry_app.cc
+++ b/src/apps/entry_app.cc
@@ -38,9 +38,9 @@
   // Owners are vouched for by frames: several fit into the bound.
   o.heartbeat = micros{o.leased.bounds.vouch.value / 3};
   o.silence = o.leased.bounds.vouch;
-  // Half of the time to stop is for callers to move on, and nearly all of the
-  // rest for what runs.
-  o.leased.drain_accept = Millis(settings.stop_grace_ms / 2);
+  // Two fifths of the time to stop are for callers to move on; at four fifths
+  // what still runs is broken off, and the rest is for streams to finish.
+  o.leased.drain_accept = Millis(settings.stop_grace_ms * 2 / 5);
   o.leased.drain_close = Millis(settings.stop_grace_ms * 2 / 5);
   return o;
 }
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -331,6 +331,10 @@
 }
 
 void sidecar_app::CallWorker(const keeper_action& action) {
+  if (const auto* note = std::get_if<keeper_note>(&action)) {
+    LogEvent("sidecar", note->what, {{"why", note->detail}});
+    return;
+  }
   platform::CallWorker(worker_http_, worker_address_, action,
                        [this](keeper_event e) { loop_.Post(std::move(e)); });
 }
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -3,16 +3,18 @@
 // Contents
 //   [1] Bounds and names
 //   [2] Ends
-//   [3] Calls to the worker
-//   [4] The worker's lives
-//   [5] Orders
-//   [6] Answers
-//   [7] Tick
-//   [8] Reports
+//   [3] Pace
+//   [4] Calls to the worker
+//   [5] The worker's lives
+//   [6] Orders
+//   [7] Answers
+//   [8] Tick
+//   [9] Reports
 
 #include "cassiaferry/lease_keeper.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cassiaferry {
@@ -70,7 +72,93 @@
     EndRun(k, now, leased_task(k.runs.begin()->first), how);
 }
 
-// ---- [3] Calls to the worker ------------------------------------------------
+// ---- [3] Pace ---------------------------------------------------------------
+
+// Run time that a sample of the pace covers, over all runs together: ten runs
+// side by side give one in 20 ms, a single one in 200 ms.
+constexpr micros kPaceSample = Millis(200);
+constexpr double kPaceKeep = 0.6;
+constexpr double kPaceChange = 0.2;  // told at once
+// Unmeasured for this long, the pace is taken to be half way back to normal.
+constexpr micros kPaceFade = Millis(500);
+
+void Note(keeper_state& k, const char* what, std::string detail) {
+  k.actions.push_back(keeper_note{what, std::move(detail)});
+}
+
+void TellPace(keeper_state& k) {
+  if (std::abs(k.pace - k.pace_told) < kPaceChange)
+    return;
+  Note(k, "pace changed", std::to_string(k.pace));
+  k.pace_told = k.pace;
+  for (auto& [name, owner] : k.owners)
+    owner.due = true;
+}
+
+// Takes in what a run has done since it was last measured.
+void AddProgress(keeper_state& k, micros now, kept_run& run, uint32_t percent) {
+  const micros from = run.measured_at.value == 0 ? run.since : run.measured_at;
+  const uint32_t done = percent > run.percent ? percent - run.percent : 0;
+  k.pace_work += done * run.start.expected_ms / 100.0;
+  k.pace_time = k.pace_time + (now - from);
+  run.percent = std::max(run.percent, percent);
+  run.measured_at = now;
+}
+
+// Failure guarded against: a worker that has turned slow, or on which all
+// stands still, looks free and healthy: it announces itself and takes every
+// start. It shows in how far its runs come, well before any of them ends.
+void MeasurePace(keeper_state& k, micros now) {
+  if (k.pace_time < kPaceSample)
+    return;
+  const double sample =
+      k.pace_work * 1000 / static_cast<double>(k.pace_time.value);
+  k.pace = k.pace * kPaceKeep + std::min(3.0, sample) * (1 - kPaceKeep);
+  k.pace_work = 0;
+  k.pace_time = {};
+  k.pace_at = now;
+  TellPace(k);
+}
+
+// A slow worker that gets nothing would be slow for ever.
+void FadePace(keeper_state& k, micros now) {
+  if (!k.runs.empty() || now - k.pace_at < kPaceFade)
+    return;
+  k.pace = (k.pace + 1) / 2;
+  k.pace_at = now;
+  TellPace(k);
+}
+
+// At the worker's pace, what is left takes longer than all of it should.
+bool IsStraggler(const keeper_options& o,
+                 const keeper_state& k,
+                 const kept_run& run,
+                 micros age) {
+  if (age < o.straggler_least)
+    return false;
+  const double left = (100.0 - run.percent) / 100 / std::max(0.01, k.pace);
+  return left > o.straggler_times;
+}
+
+void FindStragglers(keeper_state& k, micros now) {
+  for (auto& [task, run] : k.runs) {
+    const micros age = now - run.since;
+    if (run.state != run_state::running ||
+        !IsStraggler(k.options, k, run, age) ||
+        (run.told_straggling.value != 0 &&
+         now - run.told_straggling < k.options.straggler_again))
+      continue;
+    run.told_straggling = now;
+    const auto owner = k.owners.find(run.owner);
+    if (owner == k.owners.end())
+      continue;
+    owner->second.stragglers.push_back(
+        {run.start.ref, static_cast<uint32_t>(ToMillis(age)), run.percent});
+    owner->second.due = true;
+  }
+}
+
+// ---- [4] Calls to the worker ------------------------------------------------
 
 // At or before the worker's clock now: `clock_ms` was read before it arrived.
 int64_t WorkerClock(const keeper_state& k, micros now) {
@@ -137,7 +225,7 @@
   k.actions.emplace_back(std::move(look));
 }
 
-// ---- [4] The worker's lives -------------------------------------------------
+// ---- [5] The worker's lives -------------------------------------------------
 
 void Open(keeper_state& k, micros now) {
   if (k.opened)
@@ -150,6 +238,8 @@
 
 // The worker is gone, and with it all that ran there.
 void LoseWorker(keeper_state& k, micros now) {
+  Note(k, "worker lost",
+       k.worker.life + ", runs " + std::to_string(k.runs.size()));
   EndAll(k, now, run_end_kind::lost);
   k.strays.clear();
   if (k.past_lives.size() >= kMaxPastLives)
@@ -174,6 +264,11 @@
   k.life_since = now;
   k.last_answer = now;
   k.fence = std::max(k.fence, k.options.first_fence);
+  k.pace = 1;
+  k.pace_told = 1;
+  Note(k, "worker announced",
+       e.info.life + ", cpu " + std::to_string(e.info.capacity.cpu) +
+           (e.draining ? ", draining" : ""));
   // The first life that this process meets may run what an earlier sidecar
   // started there. A later one is new, and runs nothing.
   k.opened = !first;
@@ -203,13 +298,14 @@
   k.worker = e.info;
   if (!changed)
     return;
+  Note(k, e.draining ? "worker drains" : "worker changed", e.info.life);
   for (auto& [name, owner] : k.owners) {
     owner.worker_told = false;
     owner.due = true;
   }
 }
 
-// ---- [5] Orders -------------------------------------------------------------
+// ---- [6] Orders -------------------------------------------------------------
 
 void TakeRunStart(keeper_state& k,
                   micros now,
@@ -277,6 +373,7 @@
   owner.starts_seen = 0;
   owner.ends_told = 0;
   owner.worker_told = false;
+  owner.stragglers.clear();
   owner.due = true;
   const std::set<run_ref> wanted(known.begin(), known.end());
   for (auto& [task, run] : k.runs) {
@@ -300,7 +397,7 @@
   }
 }
 
-// ---- [6] Answers ------------------------------------------------------------
+// ---- [7] Answers ------------------------------------------------------------
 
 void RaiseFence(keeper_state& k) {
   k.fence += k.fence_step;
@@ -387,6 +484,8 @@
   const auto it = k.runs.find(end.ref.task);
   if (it == k.runs.end() || it->second.start.ref != end.ref)
     return;
+  if (end.how == run_end_kind::done)
+    AddProgress(k, now, it->second, 100);
   EndRun(k, now, leased_task(end.ref.task), end.how);
 }
 
@@ -396,8 +495,10 @@
 void CompareRunning(keeper_state& k,
                     micros now,
                     uint64_t look,
-                    const std::vector<run_ref>& running) {
-  const std::set<run_ref> listed(running.begin(), running.end());
+                    const std::vector<listed_run>& running) {
+  std::set<run_ref> listed;
+  for (const listed_run& run : running)
+    listed.insert(run.ref);
   std::vector<leased_task> over;
   for (const auto& [task, run] : k.runs) {
     const bool settled = run.state == run_state::running ||
@@ -420,6 +521,17 @@
                 [&](const auto& row) { return listed.count(row.first) == 0; });
 }
 
+void TakeProgress(keeper_state& k,
+                  micros now,
+                  const std::vector<listed_run>& running) {
+  for (const listed_run& listed : running) {
+    const auto it = k.runs.find(listed.ref.task);
+    if (it != k.runs.end() && it->second.start.ref == listed.ref &&
+        it->second.state == run_state::running)
+      AddProgress(k, now, it->second, listed.percent);
+  }
+}
+
 void TakeLook(keeper_state& k, micros now, const look_answered& e) {
   const uint64_t look = k.looks_open;
   k.looks_open = 0;
@@ -443,6 +555,9 @@
   for (const listed_end& end : e.ended)
     TakeListedEnd(k, now, end);
   CompareRunning(k, now, look, e.running);
+  TakeProgress(k, now, e.running);
+  MeasurePace(k, now);
+  FindStragglers(k, now);
   if (k.strays.empty())
     Open(k, now);
   if (was_suspect) {
@@ -477,7 +592,7 @@
   }
 };
 
-// ---- [7] Tick ---------------------------------------------------------------
+// ---- [8] Tick ---------------------------------------------------------------
 
 // Failure guarded against: the worker is gone without a word, or out of reach.
 // It shows as no answer at all. Once no lease granted to it can be left, what
@@ -496,11 +611,26 @@
 // started again by another entry. What nobody vouches for is stopped.
 void StopUnvouched(keeper_state& k, micros now) {
   for (auto& [task, run] : k.runs) {
-    if (run.state != run_state::stopping && !Vouched(k, now, run.owner))
-      StopRun(k, now, run);
+    if (run.state == run_state::stopping || Vouched(k, now, run.owner))
+      continue;
+    Note(k, "run stopped, its owner is silent",
+         run.start.ref.task.job + "." +
+             std::to_string(run.start.ref.task.step) + "." +
+             std::to_string(run.start.ref.task.index) + ", owner " +
+             ToHex(run.owner.value));
+    StopRun(k, now, run);
   }
 }
 
+void NoteTaking(keeper_state& k, micros now) {
+  const bool taking = TakesLeasedWork(k, now);
+  if (taking != k.was_taking)
+    Note(k, taking ? "takes work" : "takes no work",
+         "last answer of the worker " +
+             std::to_string(ToMillis(now - k.last_answer)) + " ms ago");
+  k.was_taking = taking;
+}
+
 void RetryStops(keeper_state& k, micros now) {
   for (auto& [task, run] : k.runs) {
     const bool due = run.state == run_state::stopping && !run.stop_done &&
@@ -584,6 +714,8 @@
   KeepLooking(k, now);
   TellFreedRoom(k);
   ForgetIdleOwners(k, now);
+  FadePace(k, now);
+  NoteTaking(k, now);
 }
 
 bool TakesLeasedWork(const keeper_state& k, micros now) {
@@ -595,7 +727,7 @@
   return k.worker.capacity - k.used;
 }
 
-// ---- [8] Reports ------------------------------------------------------------
+// ---- [9] Reports ------------------------------------------------------------
 
 lease_reports ReportFor(keeper_state& k, micros now, incarnation owner_name) {
   lease_reports report;
@@ -610,6 +742,8 @@
   for (size_t i = owner.ends_told; i < owner.ends.size(); ++i)
     report.ends.push_back(owner.ends[i]);
   owner.ends_told = owner.ends.size();
+  report.pace = static_cast<uint32_t>(std::max(0.0, k.pace) * 1000);
+  report.stragglers.swap(owner.stragglers);
   owner.due = false;
   return report;
 }
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -29,7 +29,20 @@
 // Workers compared for a task; more draws all entries to the same one.
 constexpr int kChoices = 3;
 constexpr double kEstimateKeep = 0.95;
-constexpr double kSlownessKeep = 0.9;
+// A worker at less than this share of the others' pace is slow: it gets a probe
+// or two at a time, and nothing else, so that a recovery shows.
+constexpr double kSlowShare = 0.4;
+constexpr size_t kSlowProbes = 2;
+// A worker that failed more than this share of its newest runs gets one at a
+// time. Failure guarded against: one that fails all at once looks free, and
+// would draw, and fail, every task there is.
+constexpr double kFailingShare = 0.5;
+constexpr size_t kFailingProbes = 1;
+constexpr uint32_t kMostMoves = 2;  // of one task off slow workers
+// A move gains if the pace is below this share of the others', for the part of
+// the work that is left; at a standstill the task is better off waiting.
+constexpr double kMoveGain = 0.7;
+constexpr double kStandstill = 0.15;
 constexpr double kFailingKeep = 0.8;
 // A refused run is not offered to the same worker for this long.
 constexpr micros kAvoidAfterRefusal = Millis(5);
@@ -350,9 +363,6 @@
   const double ratio =
       static_cast<double>(end.run_ms) / static_cast<double>(declared);
   estimate.ratio = estimate.ratio * kEstimateKeep + ratio * (1 - kEstimateKeep);
-  const double against = ratio / std::max(0.01, estimate.ratio);
-  w.slowness = w.slowness * kSlownessKeep + against * (1 - kSlownessKeep);
-  ++w.samples;
 }
 
 leased_task_row* FindTask(leased_job& job, const leased_task& task) {
@@ -431,6 +441,58 @@
 
 // ---- [5] Workers ------------------------------------------------------------
 
+room FreeNow(const leased_worker& w) {
+  return w.free - w.in_flight_room;
+}
+
+bool HasLabel(const leased_worker& w, const std::string& label) {
+  return label.empty() || std::find(w.info.labels.begin(), w.info.labels.end(),
+                                    label) != w.info.labels.end();
+}
+
+// Median of what the workers of the same upstream do, so that estimates which
+// are off for all make none look slow.
+double UsualPace(const leased_state& l, const std::string& upstream) {
+  std::vector<double> paces;
+  for (const leased_worker& w : l.workers) {
+    if (w.known && w.takes_work && w.info.upstream == upstream)
+      paces.push_back(w.pace);
+  }
+  if (paces.empty())
+    return 1;
+  const auto middle = paces.begin() + static_cast<ptrdiff_t>(paces.size() / 2);
+  std::nth_element(paces.begin(), middle, paces.end());
+  return *middle;
+}
+
+void MeasureUsualPace(leased_state& l) {
+  l.usual_pace.clear();
+  for (const leased_worker& w : l.workers) {
+    if (w.known && l.usual_pace.count(w.info.upstream) == 0)
+      l.usual_pace[w.info.upstream] = UsualPace(l, w.info.upstream);
+  }
+}
+
+// Runs of this entry that the worker may have at once.
+size_t OpenLimit(const entry_state& s, const leased_worker& w) {
+  if (w.failing > kFailingShare)
+    return kFailingProbes;
+  const auto usual = s.leased.usual_pace.find(w.info.upstream);
+  if (usual != s.leased.usual_pace.end() && w.pace < kSlowShare * usual->second)
+    return kSlowProbes;
+  return SIZE_MAX;
+}
+
+bool MayTake(const entry_state& s,
+             worker_id id,
+             const leased_job& job,
+             const leased_step& step) {
+  const leased_worker& w = s.leased.workers[id.value];
+  return s.workers[id.value].state == worker_link::up && w.takes_work &&
+         w.info.upstream == job.queue.upstream && Fits(step.need, FreeNow(w)) &&
+         HasLabel(w, step.label) && w.open.size() < OpenLimit(s, w);
+}
+
 leased_worker& WorkerOf(entry_state& s, worker_id id) {
   if (s.leased.workers.size() <= id.value)
     s.leased.workers.resize(id.value + 1);
@@ -504,6 +566,54 @@
   w.takes_work = false;
 }
 
+namespace {
+
+bool AnotherHasRoom(const entry_state& s,
+                    worker_id not_this,
+                    const leased_job& job,
+                    const leased_step& step) {
+  for (uint32_t i = 0; i < s.leased.workers.size(); ++i) {
+    if (worker_id{i} != not_this && MayTake(s, worker_id{i}, job, step))
+      return true;
+  }
+  return false;
+}
+
+bool IsSlow(const entry_state& s, const leased_worker& w, double share) {
+  const auto usual = s.leased.usual_pace.find(w.info.upstream);
+  return usual != s.leased.usual_pace.end() && w.pace < share * usual->second;
+}
+
+// A run on a slow worker is stopped if the task is sooner done elsewhere; its
+// end, once it is told, makes the task wait again. Never two runs at a time. On
+// a worker as fast as others a long run is just a long task, and stays.
+void MoveStraggler(entry_state& s, worker_id id, const straggler& slow) {
+  const leased_worker& w = s.leased.workers[id.value];
+  const auto open = w.open.find(slow.ref);
+  if (open == w.open.end())
+    return;
+  leased_job* job = Find(s.leased, open->second);
+  leased_task_row* row =
+      job == nullptr ? nullptr : FindTask(*job, slow.ref.task);
+  if (row == nullptr || row->moving || row->moved >= kMostMoves)
+    return;
+  const double left = (100.0 - slow.percent) / 100;
+  const bool gains = IsSlow(s, w, left * kMoveGain) &&
+                     AnotherHasRoom(s, id, *job, job->steps[row->task.step]);
+  if (!gains && !IsSlow(s, w, left * kStandstill))
+    return;
+  row->moving = true;
+  ++row->moved;
+  OrdersFor(s, id).stops.push_back(slow.ref);
+  Log(s, "run stopped to move it", *job,
+      "ran_ms " + std::to_string(slow.run_ms) + ", percent " +
+          std::to_string(slow.percent) + ", worker " +
+          s.workers[id.value].name + ", pace " +
+          std::to_string(s.leased.workers[id.value].pace));
+}
+
+}  // namespace
+
 void TakeReports(entry_state& s,
                  micros now,
                  worker_id id,
@@ -513,10 +623,9 @@
   w.heard = now;
   w.takes_work = reports.takes_work;
   w.free = reports.free;
+  w.pace = reports.pace / 1000.0;
   if (reports.worker) {
     if (w.info.life != reports.worker->life) {
-      w.slowness = 1;
-      w.samples = 0;
       w.failing = 0;
     }
     w.info = *reports.worker;
@@ -525,6 +634,8 @@
   TakeSeenStarts(w, reports.starts_seen);
   for (const run_end& end : reports.ends)
     TakeEnd(s, now, id, end);
+  for (const straggler& slow : reports.stragglers)
+    MoveStraggler(s, id, slow);
   if (!reports.ends.empty())
     s.workers[id.value].must_send |= s.leased.workers[id.value].open.empty();
 }
@@ -542,25 +653,6 @@
 
 // ---- [6] Placing ------------------------------------------------------------
 
-room FreeNow(const leased_worker& w) {
-  return w.free - w.in_flight_room;
-}
-
-bool HasLabel(const leased_worker& w, const std::string& label) {
-  return label.empty() || std::find(w.info.labels.begin(), w.info.labels.end(),
-                                    label) != w.info.labels.end();
-}
-
-bool MayTake(const entry_state& s,
-             worker_id id,
-             const leased_job& job,
-             const leased_step& step) {
-  const leased_worker& w = s.leased.workers[id.value];
-  return s.workers[id.value].state == worker_link::up && w.takes_work &&
-         w.info.upstream == job.queue.upstream && Fits(step.need, FreeNow(w)) &&
-         HasLabel(w, step.label);
-}
-
 uint32_t TasksOfStepOn(const leased_job& job, uint32_t step, worker_id id) {
   return static_cast<uint32_t>(std::count_if(
       job.tasks.begin(), job.tasks.end(), [&](const leased_task_row& row) {
@@ -571,14 +663,18 @@
 
 // Less is better. Free room spreads the load; a worker that is slow or fails
 // much is taken when others are full.
-double Cost(const leased_worker& w, const room& need, micros now) {
+double Cost(const leased_worker& w,
+            const room& need,
+            double usual_pace,
+            micros now) {
   constexpr double kFailingWeight = 4;
   constexpr double kAvoidWeight = 10;
   const room left = FreeNow(w) - need;
   const double used =
       1 - static_cast<double>(left.cpu) /
               static_cast<double>(std::max<int64_t>(1, w.info.capacity.cpu));
-  return used + (w.slowness - 1) + w.failing * kFailingWeight +
+  const double slowness = usual_pace / std::max(0.05, w.pace) - 1;
+  return used + std::clamp(slowness, 0.0, 4.0) + w.failing * kFailingWeight +
          (w.avoid_until > now ? kAvoidWeight : 0);
 }
 
@@ -603,7 +699,8 @@
     const size_t pick = s.random() % fitting.size();
     const worker_id id = fitting[pick];
     fitting.erase(fitting.begin() + static_cast<ptrdiff_t>(pick));
-    const double cost = Cost(s.leased.workers[id.value], needs.need, now);
+    const double cost = Cost(s.leased.workers[id.value], needs.need,
+                             s.leased.usual_pace[job.queue.upstream], now);
     if (!best || cost < best_cost) {
       best = id;
       best_cost = cost;
@@ -624,13 +721,18 @@
   row.state = leased_task_state::placed;
   row.worker = id;
   row.placed_at = now;
+  row.moving = false;
   ++job.placed;
   job.started = true;
   ++w.starts_sent;
   w.in_flight.emplace_back(w.starts_sent, need);
   w.in_flight_room = w.in_flight_room + need;
   w.open.emplace(RefOf(row), job.seq);
-  OrdersFor(s, id).starts.push_back({RefOf(row), need, job.payload});
+  const double ratio = s.leased.estimates[job.queue.name].ratio;
+  const auto expected_ms = static_cast<uint32_t>(
+      static_cast<double>(job.steps[row.task.step].expected_ms) * ratio);
+  OrdersFor(s, id).starts.push_back(
+      {RefOf(row), need, expected_ms, job.payload});
   ++s.leased.counters.runs_ordered;
 }
 
@@ -677,6 +779,9 @@
 void PlaceWaiting(entry_state& s, micros now) {
   if (now < s.leased.settle_until)
     return;
+  if (s.leased.waiting.empty())
+    return;
+  MeasureUsualPace(s.leased);
   int without_room = 0;
   std::vector<leased_seq> order;
   for (const auto& [key, seq] : s.leased.waiting)
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -216,7 +216,8 @@
 void world::Carry(const std::shared_ptr<emulated_stream>& stream,
                   action deliver) {
   const auto cut = cut_until_.find({stream->entry, stream->sidecar});
-  const micros free = cut == cut_until_.end() ? now : std::max(now, cut->second);
+  const micros free =
+      cut == cut_until_.end() ? now : std::max(now, cut->second);
   At(free + options.link_delay, [this, stream, deliver = std::move(deliver)] {
     const emulated_entry& e = entries[static_cast<size_t>(stream->entry)];
     const emulated_sidecar& s = sidecars[static_cast<size_t>(stream->sidecar)];
@@ -322,37 +323,35 @@
 // caller's time-out.
 void world::CallWorker(int sidecar, const keeper_action& call) {
   const uint64_t life = sidecars[static_cast<size_t>(sidecar)].lives;
-  const bool late =
-      Chance() < workers[static_cast<size_t>(sidecar)].late_share;
+  const bool late = Chance() < workers[static_cast<size_t>(sidecar)].late_share;
   const micros extra =
-      late ? Millis(kLateFromMs + static_cast<int64_t>(
-                                      random() % (kLateToMs - kLateFromMs)))
+      late ? Millis(kLateFromMs +
+                    static_cast<int64_t>(random() % (kLateToMs - kLateFromMs)))
            : micros{0};
   auto done = std::make_shared<bool>(false);
   const auto answer = [this, sidecar, life, done, late](keeper_event event) {
     if (late || *done)
       return;
     *done = true;
-    At(now + options.worker_delay, [this, sidecar, life,
-                                    event = std::move(event)] {
-      Deliver(sidecar, life, event);
-    });
+    At(now + options.worker_delay,
+       [this, sidecar, life, event = std::move(event)] {
+         Deliver(sidecar, life, event);
+       });
   };
   const auto time_out = [this, sidecar, life, done](int64_t ms,
                                                     keeper_event event) {
-    At(now + Millis(ms),
-       [this, sidecar, life, done, event = std::move(event)] {
-         if (*done)
-           return;
-         *done = true;
-         Deliver(sidecar, life, event);
-       });
+    At(now + Millis(ms), [this, sidecar, life, done, event = std::move(event)] {
+      if (*done)
+        return;
+      *done = true;
+      Deliver(sidecar, life, event);
+    });
   };
   const micros arrives = now + options.worker_delay + extra;
   if (const auto* start = std::get_if<call_run_start>(&call)) {
-    time_out(start->timeout_ms, run_start_answered{start->start.ref,
-                                                   start->life,
-                                                   worker_answer::none});
+    time_out(
+        start->timeout_ms,
+        run_start_answered{start->start.ref, start->life, worker_answer::none});
     At(arrives, [this, sidecar, c = *start, answer] {
       if (AnswersOrders(workers[static_cast<size_t>(sidecar)], c.life))
         answer(run_start_answered{c.start.ref, c.life, DoStart(sidecar, c)});
@@ -400,7 +399,8 @@
       static_cast<double>((now - w.clock_origin).value) * w.clock_rate / 1000);
 }
 
-void world::EndRun(emulated_worker& w, const leased_task& task,
+void world::EndRun(emulated_worker& w,
+                   const leased_task& task,
                    run_end_kind how) {
   const auto it = w.runs.find(task);
   w.over[task] = std::max(w.over[task], it->second.run);
@@ -424,8 +424,7 @@
     if (workers[i].up && workers[i].runs.count(task) != 0)
       Broken("two runs at once of " + name);
   }
-  const room free =
-      options.capacity - UsedBy(worker);
+  const room free = options.capacity - UsedBy(worker);
   if (!Fits(start.need, free))
     Broken("worker " + std::to_string(worker) + " is brought over its room");
   const auto job = jobs.find(task.job);
@@ -462,8 +461,9 @@
   run.since = now;
   const int64_t ms =
       job.run_ms.empty() ? 100 : job.run_ms[task.index % job.run_ms.size()];
-  run.ends = now + micros{static_cast<int64_t>(static_cast<double>(ms) * 1000 *
-                                               w.slowness)};
+  run.ends =
+      now +
+      micros{static_cast<int64_t>(static_cast<double>(ms) * 1000 * w.slowness)};
   run.will_fail = job.hopeless || w.fails_all;
   w.runs.emplace(task, run);
   ++w.starts;
@@ -491,6 +491,13 @@
   return worker_answer::ok;
 }
 
+uint32_t world::PercentOf(const worker_run& run) const {
+  const double whole = static_cast<double>((run.ends - run.since).value);
+  const double past = static_cast<double>((now - run.since).value);
+  return static_cast<uint32_t>(
+      std::clamp(past / std::max(1.0, whole), 0.0, 1.0) * 100);
+}
+
 look_answered world::DoLook(int worker, const call_look& c) {
   emulated_worker& w = workers[static_cast<size_t>(worker)];
   look_answered a;
@@ -510,7 +517,7 @@
   a.answer = worker_answer::ok;
   a.clock_ms = ClockOf(w);
   for (const auto& [task, run] : w.runs)
-    a.running.push_back({task, run.run});
+    a.running.push_back({{task, run.run}, PercentOf(run)});
   a.ended = w.ended;
   return a;
 }
@@ -520,8 +527,10 @@
   std::vector<leased_task> due;
   const bool lapsed = ClockOf(w) > w.lease_until_ms;
   for (auto& [task, run] : w.runs) {
-    if (w.hangs)
+    if (w.hangs) {
+      run.since = run.since + kWorkerStep;
       run.ends = run.ends + kWorkerStep;
+    }
     if (lapsed || run.ends <= now)
       due.push_back(task);
   }
@@ -551,7 +560,9 @@
 
 // ---- [6] Callers ------------------------------------------------------------
 
-emulated_job MakeJob(const std::string& id, uint32_t tasks, int64_t cpu,
+emulated_job MakeJob(const std::string& id,
+                     uint32_t tasks,
+                     int64_t cpu,
                      int64_t run_ms) {
   emulated_job job;
   job.id = id;
@@ -658,13 +669,14 @@
   if (job.fate != job_fate::open)
     return;
   const uint64_t ticket = job.ticket;
-  At(now + seen_after, [this, entry = job.entry, life = job.entry_life, ticket] {
-    emulated_entry& e = entries[static_cast<size_t>(entry)];
-    if (e.lives != life)
-      return;
-    e.inbox.emplace_back(caller_gone{ticket_id{ticket}});
-    WakeEntry(entry);
-  });
+  At(now + seen_after,
+     [this, entry = job.entry, life = job.entry_life, ticket] {
+       emulated_entry& e = entries[static_cast<size_t>(entry)];
+       if (e.lives != life)
+         return;
+       e.inbox.emplace_back(caller_gone{ticket_id{ticket}});
+       WakeEntry(entry);
+     });
   tickets_.erase({job.entry, ticket});
   Unanswered(id, ticket);
 }
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -37,13 +37,13 @@
   int entries = 3;
   int workers = 4;
   room capacity{16'000, 65'536, 0};
-  micros link_delay{800};       // one way, entry to sidecar
-  micros worker_delay{150};     // one way, sidecar to its worker
+  micros link_delay{800};    // one way, entry to sidecar
+  micros worker_delay{150};  // one way, sidecar to its worker
   micros caller_delay = Millis(2);
   micros resend_after = Millis(1300);  // a caller without an answer
   micros announce_every = Millis(1000);
   micros restart_after = Millis(500);  // of a killed process
-  lease_bounds bounds;  // set from `resend_after` by MakeWorld
+  lease_bounds bounds;                 // set from `resend_after` by MakeWorld
 };
 
 // ---- [2] Workers ------------------------------------------------------------
@@ -60,13 +60,13 @@
   std::string life;
   uint64_t lives = 0;
   bool up = true;
-  bool silent = false;     // answers nothing, and goes on
-  bool hangs = false;      // what runs there stands still
+  bool silent = false;  // answers nothing, and goes on
+  bool hangs = false;   // what runs there stands still
   bool fails_all = false;
   bool draining = false;
   double slowness = 1;
-  double late_share = 0;   // of orders: no answer, carried out seconds later
-  double clock_rate = 1;   // against true time
+  double late_share = 0;  // of orders: no answer, carried out seconds later
+  double clock_rate = 1;  // against true time
   micros clock_origin{0};
   uint64_t announcements = 0;
   uint64_t fence = 0;
@@ -104,9 +104,9 @@
   int entry = 0;
   uint64_t sidecar_life = 0;
   uint64_t entry_life = 0;
-  entry_id link;       // at the sidecar
+  entry_id link;  // at the sidecar
   link_epoch epoch;
-  link_id accepted;    // at the entry
+  link_id accepted;  // at the entry
   bool open = true;
 };
 
@@ -125,10 +125,10 @@
   micros answered{0};
   job_fate fate = job_fate::open;
   int sends = 0;
-  int entry = -1;          // where it was sent last
+  int entry = -1;  // where it was sent last
   uint64_t entry_life = 0;
-  uint64_t ticket = 0;     // of the newest send
-  bool started = false;    // a worker began a task of it
+  uint64_t ticket = 0;   // of the newest send
+  bool started = false;  // a worker began a task of it
 };
 
 // ---- [5] The world ----------------------------------------------------------
@@ -205,6 +205,7 @@
   worker_answer DoStart(int worker, const call_run_start& call);
   worker_answer DoStop(int worker, const call_run_stop& call);
   look_answered DoLook(int worker, const call_look& call);
+  uint32_t PercentOf(const worker_run& run) const;
   void EndRun(emulated_worker& w, const leased_task& task, run_end_kind how);
   void AdvanceWorker(int worker);
   void AnnounceWorker(int worker);
--- a/src/net/codec.cc
+++ b/src/net/codec.cc
@@ -73,6 +73,7 @@
   out->set_step(start.ref.task.step);
   out->set_index(start.ref.task.index);
   out->set_run(start.ref.run);
+  out->set_expected_ms(start.expected_ms);
   Write(start.need, out->mutable_need());
 }
 
@@ -96,6 +97,7 @@
     s.ref = {{batch.job(), start.occurrence(), start.step(), start.index()},
              start.run()};
     s.need = Read(start.need());
+    s.expected_ms = start.expected_ms();
     s.payload = batch.payload();
     out.push_back(std::move(s));
   }
@@ -157,6 +159,13 @@
     e->set_how(static_cast<uint32_t>(end.how));
     e->set_run_ms(end.run_ms);
   }
+  out->set_pace(reports.pace);
+  for (const straggler& slow : reports.stragglers) {
+    wire::Straggler* st = out->add_stragglers();
+    Write(slow.ref, st->mutable_ref());
+    st->set_run_ms(slow.run_ms);
+    st->set_percent(slow.percent);
+  }
 }
 
 lease_reports Read(const wire::LeaseReports& reports) {
@@ -171,6 +180,9 @@
     r.ends.push_back({end.number(), Read(end.ref()),
                       Bounded(end.how(), run_end_kind::superseded),
                       end.run_ms()});
+  r.pace = reports.pace();
+  for (const wire::Straggler& slow : reports.stragglers())
+    r.stragglers.push_back({Read(slow.ref()), slow.run_ms(), slow.percent()});
   return r;
 }
 
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -3,9 +3,10 @@
 // Contents
 //   [1] Fixture
 //   [2] Calm
-//   [3] Failures of processes
-//   [4] Orders that get lost or come late
-//   [5] Seeded runs
+//   [3] Sick workers
+//   [4] Failures of processes
+//   [5] Orders that get lost or come late
+//   [6] Seeded runs
 
 #include <catch2/catch.hpp>
 
@@ -67,7 +68,7 @@
   lease_orders Order(const std::string& job, uint32_t run) const {
     lease_orders orders;
     orders.echo = now.value;
-    orders.starts.push_back({Ref(job, run), {1000, 10, 0}, ""});
+    orders.starts.push_back({Ref(job, run), {1000, 10, 0}, 100, ""});
     return orders;
   }
 
@@ -77,7 +78,8 @@
     e.life = "life";
     e.answer = worker_answer::ok;
     e.clock_ms = ToMillis(now);
-    e.running = running;
+    for (const run_ref& ref : running)
+      e.running.push_back({ref, 50});
     TakeKeeperEvent(k, now, e);
     TickKeeper(k, now);
   }
@@ -151,13 +153,66 @@
   RequireNothingBroken();
 }
 
-// ---- [3] Failures of processes ----------------------------------------------
+// ---- [3] Sick workers -------------------------------------------------------
+
+// What a user sees: one booking in four hangs until its caller gives up. Order:
+// all that runs on one worker stands still, while it announces itself and takes
+// every start. Guard: the pace of its runs tells, and its runs are moved.
+TEST_CASE_METHOD(leased_jobs, "worker_hangs_jobs_completed_elsewhere") {
+  w.workers[0].hangs = true;
+  for (int i = 0; i < 40; ++i) {
+    SubmitMany(1, 4, 1000, 100);
+    w.Pass(Millis(50));
+  }
+  w.Pass(Millis(1500));
+  REQUIRE(w.Count(job_fate::completed) == 40);
+  RequireNothingBroken();
+}
+
+// What a user sees: a quarter of the bookings takes six times as long. Order:
+// one worker turns slow. Guard: it gets a probe at a time.
+TEST_CASE_METHOD(leased_jobs, "worker_slow_gets_probes_only") {
+  w.workers[0].slowness = 6;
+  for (int i = 0; i < 60; ++i) {
+    SubmitMany(1, 4, 1000, 100);
+    w.Pass(Millis(50));
+  }
+  w.Pass(Millis(2000));
+  REQUIRE(w.Count(job_fate::completed) == 60);
+  REQUIRE(w.workers[0].starts < 30);
+  REQUIRE(w.workers[1].starts > 60);
+  // It is well again: the probes show it.
+  w.workers[0].slowness = 1;
+  const uint64_t before = w.workers[0].starts;
+  for (int i = 0; i < 60; ++i) {
+    SubmitMany(1, 4, 1000, 100);
+    w.Pass(Millis(50));
+  }
+  REQUIRE(w.workers[0].starts > before + 20);
+}
+
+// What a user sees: jobs fail that nothing is wrong with. Order: a worker fails
+// all it starts, at once, so it always has the most room. Guard: it gets one
+// run at a time, so that few tasks meet it twice.
+TEST_CASE_METHOD(leased_jobs, "worker_fails_all_jobs_completed_elsewhere") {
+  w.workers[0].fails_all = true;
+  for (int i = 0; i < 60; ++i) {
+    SubmitMany(1, 4, 1000, 60);
+    w.Pass(Millis(50));
+  }
+  w.Pass(Millis(2000));
+  REQUIRE(w.Count(job_fate::completed) == 60);
+  RequireNothingBroken();
+}
+
+// ---- [4] Failures of processes ----------------------------------------------
 
 // What a user sees: a confirmed field booked twice. Order: the entry that took
 // the job dies; the caller sends it again to another entry 1.3 s later, while
 // the first entry's runs still go on. Guard: nobody vouches for them any more,
 // and the sidecars stop them before that.
-TEST_CASE_METHOD(leased_jobs, "entry_killed_its_runs_are_over_before_a_resend") {
+TEST_CASE_METHOD(leased_jobs,
+                 "entry_killed_its_runs_are_over_before_a_resend") {
   w.SubmitTo(0, MakeJob("long", 4, 1000, 5000));
   w.Pass(Millis(100));
   REQUIRE(WorkerOf("long") >= 0);
@@ -188,7 +243,8 @@
 // What a user sees: a job hangs until its caller gives up. Order: the sidecar
 // is frozen beyond its worker's lease; its entry can't learn what became of the
 // runs. Guard: after the bound on all leases the entry starts them elsewhere.
-TEST_CASE_METHOD(leased_jobs, "sidecar_frozen_runs_start_elsewhere_after_bound") {
+TEST_CASE_METHOD(leased_jobs,
+                 "sidecar_frozen_runs_start_elsewhere_after_bound") {
   w.SubmitTo(0, MakeJob("long", 1, 1000, 300));
   w.Pass(Millis(50));
   w.FreezeSidecar(WorkerOf("long"), Millis(10'000));
@@ -285,12 +341,14 @@
 // gets no answer, the second is refused for want of room; the owner starts the
 // task elsewhere; then the first copy is carried out. Guard: the run is stopped
 // first, which keeps a late copy out for good.
-TEST_CASE_METHOD(one_keeper, "start_refused_after_a_lost_copy_is_stopped_first") {
+TEST_CASE_METHOD(one_keeper,
+                 "start_refused_after_a_lost_copy_is_stopped_first") {
   TakeOrders(k, now, kOwner, Order("job", 1));
-  TakeKeeperEvent(k, now,
-                  run_start_answered{Ref("job", 1), "life", worker_answer::none});
   TakeKeeperEvent(
-      k, now, run_start_answered{Ref("job", 1), "life", worker_answer::no_room});
+      k, now, run_start_answered{Ref("job", 1), "life", worker_answer::none});
+  TakeKeeperEvent(
+      k, now,
+      run_start_answered{Ref("job", 1), "life", worker_answer::no_room});
   REQUIRE(Calls<call_run_stop>().size() == 1);
   REQUIRE(ReportFor(k, now, kOwner).ends.empty());
   TakeKeeperEvent(k, now,
@@ -304,7 +362,8 @@
 
 // Order: the clock of this machine went back between two sidecars, and the
 // second's fence is below what the worker has seen. It rises until it is taken.
-TEST_CASE_METHOD(one_keeper, "fence_below_what_was_seen_rises_and_start_repeats") {
+TEST_CASE_METHOD(one_keeper,
+                 "fence_below_what_was_seen_rises_and_start_repeats") {
   TakeOrders(k, now, kOwner, Order("job", 1));
   const uint64_t fence = Calls<call_run_start>().back().fence;
   TakeKeeperEvent(
@@ -361,7 +420,7 @@
   REQUIRE(w.Count(job_fate::completed) == 40);
 }
 
-// ---- [4] Orders that get lost or come late ----------------------------------
+// ---- [5] Orders that get lost or come late ----------------------------------
 
 // What a user sees: a task that runs twice, or a worker over its room. Order: a
 // start gets no answer; it is sent again, or given up; seconds later the first
@@ -379,7 +438,7 @@
   RequireNothingBroken();
 }
 
-// ---- [5] Seeded runs --------------------------------------------------------
+// ---- [6] Seeded runs --------------------------------------------------------
 
 void PlayFault(world& w) {
   const int entry = static_cast<int>(w.random() % w.entries.size());
