--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,9 @@
   librestinio-dev libasio-dev libfmt-dev libhttp-parser-dev libgrpc++-dev libprotobuf-dev protobuf-compiler \
   libgflags-dev libgoogle-glog-dev libcurl4-openssl-dev libboost-dev nlohmann-json3-dev catch2 libtrompeloeil-cpp-dev \
   libxxhash-dev spin
-SOURCES := $(shell git ls-files '*.cc' '*.h' ':!src/gen')
+SOURCES := $(shell git ls-files -co --exclude-standard '*.cc' '*.h' ':!src/gen')
 
-.PHONY: all deps configure demo test unit format format-check lint model proto clean
+.PHONY: all deps configure demo test unit format format-check lint names model proto clean
 
 all: configure
 	@cmake --build $(BUILD) -j $(JOBS)
@@ -28,7 +28,7 @@
 demo: all
 	@examples/demo.sh $(BUILD)/bin
 
-test: all format-check lint model
+test: all format-check names lint model
 	cd $(BUILD) && ctest --output-on-failure --timeout 300 -j 2
 
 unit: all
@@ -45,10 +45,15 @@
 lint: configure
 	@BUILD=$(BUILD) JOBS=$(JOBS) sh tests/lint.sh
 
+# The platform's words stay in its adapter.
+names:
+	@sh tests/names.sh
+
 model: deps
 	@sh model/check.sh
 
-# Only after a change of proto/link.proto; the result is committed.
+# Only after a change of proto/link.proto; the result is committed. Needs the
+# package protobuf-compiler-grpc, which nothing else does.
 proto:
 	protoc -Iproto --cpp_out=src/gen --grpc_out=src/gen --plugin=protoc-gen-grpc=$$(command -v grpc_cpp_plugin) \
 	  proto/link.proto
--- a/model/check.sh
+++ b/model/check.sh
@@ -42,5 +42,7 @@
 expect violated dispatch REPEAT NO_DEDUP
 expect holds claims
 for m in NO_ASK NO_VERSION ABSENT_IS_WON FORGET_STARTED CRASHED_IS_FREE; do expect violated claims $m; done
+expect holds leases
+for m in NO_VOUCH NO_ECHO NO_LATE NO_LEASE NO_CANCEL NO_SETTLE; do expect violated leases $m; done
 echo "model: $passed as expected, $failed not"
 [ "$failed" = 0 ]
--- a/src/apps/entry_app.cc
+++ b/src/apps/entry_app.cc
@@ -109,7 +109,14 @@
         std::this_thread::sleep_for(kStopPoll);
     }
   });
-  PrintReady({{"http", http}, {"link", link}, {"pid", getpid()}});
+  nlohmann::json ready = {{"http", http}, {"link", link}, {"pid", getpid()}};
+  if (HasLeasedJobs()) {
+    ready["callers"] = settings_.callers;
+    ready["ready"] = settings_.ready;
+  }
+  PrintReady(ready);
+  if (HasLeasedJobs())
+    LogStart();
 }
 
 // ---- [2] Actions ------------------------------------------------------------
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -82,6 +82,7 @@
   // Leased jobs (entry_leased.cc).
   bool HasLeasedJobs() const { return !settings_.callers.empty(); }
   void StartLeased();
+  void LogStart();    // after the ready line, which comes first
   void TickLeased();  // on the control thread, before each tick
   void OnCall(const http_request& r);
   void TakeCall(const http_request& r);  // on the control thread
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -51,7 +51,7 @@
   callers_ = std::make_unique<http_server>(
       options, [this](const http_request& r) { OnCall(r); },
       [this](ticket_id ticket) { loop_.Post(caller_gone{ticket}); });
-  StartOrDie(*callers_, kPrefix);
+  settings_.callers = StartOrDie(*callers_, kPrefix);
   http_server_options ready;
   ready.address = settings_.ready;
   ready.threads = 1;
@@ -64,7 +64,7 @@
         ready_server_->Answer(r.ticket, response);
       },
       [](ticket_id) {});
-  StartOrDie(*ready_server_, kPrefix);
+  settings_.ready = StartOrDie(*ready_server_, kPrefix);
   store_ = platform::MakeRowStore(http_client_, settings_.store);
   row_watch_options watch;
   watch.table = platform::kOperatorTable;
@@ -73,6 +73,9 @@
       store_, watch,
       [this](std::function<void()> f) { loop_.Call(std::move(f)); },
       [this](const stored_row& row) { TakeConfigRow(row); });
+}
+
+void entry_app::LogStart() {
   LogEvent(kPart, "start",
            {{"entry", settings_.name},
             {"incarnation", ToHex(state_.options.self.value)},
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -146,9 +146,9 @@
   leased_counters& c = s.leased.counters;
   constexpr const char* kWhat[] = {"job completed", "job failed",
                                    "job cancelled", "job refused"};
-  uint64_t* const kCount[] = {&c.jobs_completed, &c.jobs_failed,
+  uint64_t* const counts[] = {&c.jobs_completed, &c.jobs_failed,
                               &c.jobs_cancelled, &c.jobs_refused};
-  ++*kCount[static_cast<size_t>(outcome)];
+  ++*counts[static_cast<size_t>(outcome)];
   std::string detail =
       "age_ms " + std::to_string(ToMillis(now - job.arrival)) +
       ", expected_ms " + std::to_string(ToMillis(job.expected)) + ", tasks " +
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -52,7 +52,7 @@
 
 // ---- [1] Time ---------------------------------------------------------------
 
-world::world(world_options o) : options(std::move(o)), random(options.seed) {
+world::world(const world_options& o) : options(o), random(options.seed) {
   options.bounds = BoundsFor(Millis(1000), options.resend_after);
   workers.resize(static_cast<size_t>(options.workers));
   entries.resize(static_cast<size_t>(options.entries));
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -140,7 +140,7 @@
 };
 
 struct world {
-  explicit world(world_options options);
+  explicit world(const world_options& options);
 
   void Pass(micros time);
   void Submit(emulated_job job);  // from a caller, to a random entry
--- a/src/net/control_loop.h
+++ b/src/net/control_loop.h
@@ -4,10 +4,9 @@
 #ifndef CASSIAFERRY_SRC_NET_CONTROL_LOOP_H_
 #define CASSIAFERRY_SRC_NET_CONTROL_LOOP_H_
 
-#include <time.h>
-
 #include <chrono>
 #include <condition_variable>
+#include <ctime>
 #include <functional>
 #include <mutex>
 #include <utility>
