Settings: a changed file is taken up, by SIGHUP or on its own

Cause: SIGHUP had its default action and ended the process, with the requests it served. Now entry and sidecar read the file again; one that can't be used changes nothing and is logged. The time to stop comes from the settings (stop_grace_s). Test: settings_changed_requests_go_on.

--- a/src/apps/app.cc
+++ b/src/apps/app.cc
@@ -41,25 +41,35 @@
   return text.str();
 }
 
+nlohmann::json ReReadSettings(const std::string& file,
+                              const std::vector<field_rule>& rules,
+                              std::string& error) {
+  nlohmann::json settings;
+  const std::string text = ReadFile(file, error);
+  if (!error.empty()) {
+    error = file + ": " + error;
+    return nullptr;
+  }
+  if (!ParseJson(text, settings, error)) {
+    error = file + ": not JSON: " + error;
+    return nullptr;
+  }
+  std::vector<config_error> errors;
+  CheckObject(settings, rules, "", errors);
+  for (const config_error& e : errors)
+    error +=
+        (error.empty() ? "" : "\n") + file + ": " + e.path + ": " + e.message;
+  return errors.empty() ? settings : nlohmann::json();
+}
+
 nlohmann::json ReadSettings(const std::string& file,
                             const std::vector<field_rule>& rules) {
   if (file.empty())
     Die(kExitBadInput, "--settings FILE is needed; see --help");
   std::string error;
-  const std::string text = ReadFile(file, error);
+  nlohmann::json settings = ReReadSettings(file, rules, error);
   if (!error.empty())
-    Die(kExitBadInput, file + ": " + error);
-  nlohmann::json settings;
-  if (!ParseJson(text, settings, error))
-    Die(kExitBadInput, file + ": not JSON: " + error);
-  std::vector<config_error> errors;
-  CheckObject(settings, rules, "", errors);
-  std::string sentences;
-  for (const config_error& e : errors)
-    sentences += (sentences.empty() ? "" : "\n") + file + ": " + e.path + ": " +
-                 e.message;
-  if (!errors.empty())
-    Die(kExitBadInput, sentences);
+    Die(kExitBadInput, error);
   return settings;
 }
 
@@ -70,6 +80,7 @@
   std::mutex mutex;
   bool signalled = false;
   std::function<void()> stop;
+  std::function<void()> reload;
 };
 
 stop_state& StopState() {
@@ -84,6 +95,27 @@
     StopState().stop();
 }
 
+void Reload() {
+  std::function<void()> reload;
+  {
+    const std::lock_guard lock(StopState().mutex);
+    reload = StopState().reload;
+  }
+  if (reload)
+    reload();
+}
+
+// The next signal that asks for the end; others are dealt with on the way.
+int WaitForStop(const sigset_t& set) {
+  for (;;) {
+    int number = 0;
+    sigwait(&set, &number);
+    if (number != SIGHUP)
+      return number;
+    Reload();
+  }
+}
+
 }  // namespace
 
 void HandleSignals(const char* prefix) {
@@ -91,18 +123,52 @@
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
   std::thread([set, prefix] {
-    int number = 0;
-    sigwait(&set, &number);
-    LOG(INFO) << prefix << "stopping, on signal " << number;
+    LOG(INFO) << prefix << "stopping, on signal " << WaitForStop(set);
     Signalled();
-    sigwait(&set, &number);
+    WaitForStop(set);
     Die(kExitForced,
         std::string(prefix) + "stopped at once, on a second signal");
   }).detach();
 }
 
+void OnReload(std::function<void()> reload) {
+  const std::lock_guard lock(StopState().mutex);
+  StopState().reload = std::move(reload);
+}
+
+file_watch::file_watch(std::string file,
+                       std::chrono::milliseconds period,
+                       std::function<void()> reload) {
+  thread_ = std::thread(
+      [this, file = std::move(file), period, reload = std::move(reload)] {
+        std::string error;
+        std::string before = ReadFile(file, error);
+        std::unique_lock lock(mutex_);
+        while (!wake_.wait_for(lock, period, [this] { return stopped_; })) {
+          std::string unread;
+          std::string now = ReadFile(file, unread);
+          if (!unread.empty() || now == before)
+            continue;
+          before = std::move(now);
+          lock.unlock();
+          reload();
+          lock.lock();
+        }
+      });
+}
+
+file_watch::~file_watch() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopped_ = true;
+  }
+  wake_.notify_one();
+  thread_.join();
+}
+
 void OnStop(std::function<void()> stop) {
   const std::lock_guard lock(StopState().mutex);
   StopState().stop = std::move(stop);
--- a/src/apps/entry_app.cc
+++ b/src/apps/entry_app.cc
@@ -30,8 +30,15 @@
   o.failure_domain = settings.failure_domain;
   o.self = incarnation{RandomSeed()};
   o.seed = RandomSeed();
+  ApplyLeaseSettings(settings, o);
+  return o;
+}
+
+}  // namespace
+
+void ApplyLeaseSettings(const entry_settings& settings, entry_options& o) {
   if (settings.callers.empty())
-    return o;
+    return;
   o.leased.enabled = true;
   o.leased.order = settings.order;
   o.leased.bounds = BoundsFor(Millis(settings.lease_max_ms),
@@ -43,11 +50,8 @@
   // what still runs is broken off, and the rest is for streams to finish.
   o.leased.drain_accept = Millis(settings.stop_grace_ms * 2 / 5);
   o.leased.drain_close = Millis(settings.stop_grace_ms * 2 / 5);
-  return o;
 }
 
-}  // namespace
-
 // ---- [1] Start --------------------------------------------------------------
 
 entry_app::entry_app(entry_settings settings)
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -51,6 +51,9 @@
   leased_order order = leased_order::fair_share;
 };
 
+// What of the settings may change while the process runs, into its options.
+void ApplyLeaseSettings(const entry_settings& settings, entry_options& options);
+
 // What a peer says of itself, and what it knows.
 struct peer_row {
   std::string http_address;
@@ -65,7 +68,10 @@
 
   void Start();  // exits the process if an address can't be had
   void Drain();  // any thread
-  void Run();    // until drained
+  // Any thread. Takes up what may change while the process runs; addresses and
+  // names need a restart.
+  void Reload(const entry_settings& settings);
+  void Run();  // until drained
 
  private:
   // Routes (entry_http.cc); on HTTP threads.
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -75,6 +75,19 @@
       [this](const stored_row& row) { TakeConfigRow(row); });
 }
 
+void entry_app::Reload(const entry_settings& settings) {
+  loop_.Call([this, settings] {
+    if (!HasLeasedJobs())
+      return;
+    ApplyLeaseSettings(settings, state_.options);
+    state_.leased.options = state_.options.leased;
+    LogEvent(kPart, "settings reloaded",
+             {{"lease_ms", ToMillis(state_.options.leased.bounds.lease)},
+              {"vouch_ms", ToMillis(state_.options.leased.bounds.vouch)},
+              {"stop_grace_ms", settings.stop_grace_ms}});
+  });
+}
+
 void entry_app::LogStart() {
   LogEvent(kPart, "start",
            {{"entry", settings_.name},
--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -6,6 +6,7 @@
 
 #include "app.h"
 #include "entry_app.h"
+#include "event_log.h"
 
 DEFINE_string(settings, "", "settings file (JSON); see docs/OPERATIONS.md");
 DEFINE_string(
@@ -20,6 +21,8 @@
 namespace cassiaferry {
 namespace {
 
+constexpr std::chrono::milliseconds kSettingsLook{2000};
+
 const std::vector<field_rule> kRules = {
     {"name", field_kind::text, 1, 128, true},
     {"failure_domain", field_kind::text, 1, 128, true},
@@ -38,7 +41,7 @@
     {"store", field_kind::text, 3, 64},
     {"lease_max_ms", field_kind::integer, 100, 600'000},
     {"resend_after_ms", field_kind::integer, 300, 600'000},
-    {"stop_grace_ms", field_kind::integer, 100, 600'000},
+    {"stop_grace_s", field_kind::number, 0.1, 600},
     {"order", field_kind::text, 1, 64},
 };
 
@@ -62,8 +65,7 @@
                          "earliest_start, priority, fair_share");
 }
 
-entry_settings ReadEntrySettings() {
-  nlohmann::json j = ReadSettings(FLAGS_settings, kRules);
+entry_settings ReadEntrySettings(nlohmann::json j) {
   if (!FLAGS_http.empty())
     j["http"] = FLAGS_http;
   if (!FLAGS_link.empty())
@@ -96,7 +98,7 @@
     Die(kExitBadInput, FLAGS_settings + ": /admin_token: is missing");
   s.lease_max_ms = j.value("lease_max_ms", s.lease_max_ms);
   s.resend_after_ms = j.value("resend_after_ms", s.resend_after_ms);
-  s.stop_grace_ms = j.value("stop_grace_ms", s.stop_grace_ms);
+  s.stop_grace_ms = static_cast<int64_t>(j.value("stop_grace_s", 6.0) * 1000);
   s.order = ReadOrder(j.value("order", "fair_share"));
   s.max_body_bytes = j.value("max_body_bytes", s.max_body_bytes);
   s.max_connections = j.value("max_connections", s.max_connections);
@@ -104,6 +106,16 @@
   return s;
 }
 
+// A file that can't be used changes nothing: what is in force stays.
+void Reload(entry_app& app) {
+  std::string error;
+  nlohmann::json j = ReReadSettings(FLAGS_settings, kRules, error);
+  if (error.empty())
+    app.Reload(ReadEntrySettings(std::move(j)));
+  else
+    LogEvent("entry", "settings not reloaded", {{"why", error}});
+}
+
 }  // namespace
 }  // namespace cassiaferry
 
@@ -113,11 +125,16 @@
       "cassiaferry-entry --settings FILE\nTakes jobs over HTTP and dispatches "
       "their tasks.",
       &argc, &argv);
-  entry_settings settings = ReadEntrySettings();
+  entry_settings settings =
+      ReadEntrySettings(ReadSettings(FLAGS_settings, kRules));
   HandleSignals("entry: ");
   entry_app app(std::move(settings));
   app.Start();
   OnStop([&app] { app.Drain(); });
+  const auto reload = [&app] { Reload(app); };
+  OnReload(reload);
+  const file_watch watch(FLAGS_settings, kSettingsLook, reload);
   app.Run();
+  OnReload({});
   return kExitOk;
 }
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -36,6 +36,7 @@
 
 constexpr char kPrefix[] = "sidecar: ";
 constexpr std::chrono::milliseconds kIdleTick{50};
+constexpr std::chrono::milliseconds kSettingsLook{2000};
 
 // ---- [1] Settings -----------------------------------------------------------
 
@@ -49,7 +50,7 @@
     {"store", field_kind::text, 3, 64},
     {"lease_max_ms", field_kind::integer, 100, 600'000},
     {"resend_after_ms", field_kind::integer, 300, 600'000},
-    {"stop_grace_ms", field_kind::integer, 100, 600'000},
+    {"stop_grace_s", field_kind::number, 0.1, 600},
 };
 
 const std::vector<field_rule> kAnnouncementRules = {
@@ -79,7 +80,7 @@
   o.silence = o.keeper.bounds.vouch;
   o.redial = Millis(100);
   o.drain_grace =
-      Millis(settings.value("stop_grace_ms", int64_t{6000}) * 3 / 5);
+      Millis(static_cast<int64_t>(settings.value("stop_grace_s", 6.0) * 600));
 }
 
 sidecar_options ReadOptions(const json& settings) {
@@ -109,6 +110,7 @@
   void Start(const json& settings);
   void Run();
   void Drain() { loop_.Post(drain_requested{}); }
+  void Reload();  // any thread
 
  private:
   void OnRequest(const http_request& request);
@@ -170,6 +172,25 @@
             {"incarnation", ToHex(state_.options.self.value)}});
 }
 
+// Bounds and times may change while the process runs; addresses and names need
+// a restart. A file that can't be used changes nothing.
+void sidecar_app::Reload() {
+  std::string error;
+  const json settings = ReReadSettings(FLAGS_settings, kRules, error);
+  if (!error.empty()) {
+    LogEvent("sidecar", "settings not reloaded", {{"why", error}});
+    return;
+  }
+  loop_.Call([this, settings] {
+    const uint64_t fence = state_.keeper.options.first_fence;
+    ReadLeaseOptions(settings, state_.options);
+    state_.options.keeper.first_fence = fence;
+    state_.keeper.options = state_.options.keeper;
+    LogEvent("sidecar", "settings reloaded",
+             {{"lease_ms", ToMillis(state_.keeper.options.bounds.lease)}});
+  });
+}
+
 // ---- [2] HTTP ---------------------------------------------------------------
 
 void sidecar_app::Reply(ticket_id ticket,
@@ -409,6 +430,10 @@
   sidecar_app app(settings);
   app.Start(settings);
   OnStop([&app] { app.Drain(); });
+  const auto reload = [&app] { app.Reload(); };
+  OnReload(reload);
+  const file_watch watch(FLAGS_settings, kSettingsLook, reload);
   app.Run();
+  OnReload({});
   return kExitOk;
 }
