--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -189,6 +189,8 @@
   std::map<std::string, double> usual_pace;         // of workers, by upstream
   std::map<std::string, int64_t> cpu_in_use;  // by queue; thousandths of a core
   micros last_refusal{0};       // when hopeless jobs were last looked for
+  int64_t cpu_taking = 0;       // capacity of the workers that take work ...
+  micros grown_at{0};           // ... and when it last grew
   bool asked_for_room = false;  // workers know that tasks wait here
   micros last_tick{0};
   micros settle_until{0};
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -271,6 +271,16 @@
   return true;
 }
 
+// A stopping entry serves what its callers still send on open connections, as
+// long as that can be done in the time that is left.
+bool FitsBeforeStop(const entry_state& s, const leased_job& job, micros now) {
+  if (!s.draining)
+    return true;
+  const leased_options& o = s.leased.options;
+  const micros closes = s.drain_since + o.drain_accept + o.drain_close;
+  return job.worthless_from < closes;
+}
+
 }  // namespace
 
 void SubmitLeasedJob(entry_state& s, micros now, leased_job_submitted event) {
@@ -296,12 +306,6 @@
                   "durable jobs are not taken yet", 0});
     return;
   }
-  if (s.draining && now - s.drain_since >= l.options.drain_accept) {
-    RefuseTicket(
-        s, event.ticket, r.id,
-        {verdict::not_run, reason::draining, "this entry stops", 1000});
-    return;
-  }
   if (!CheckSteps(r.steps)) {
     RefuseTicket(s, event.ticket, r.id,
                  {verdict::not_run, reason::bad_request,
@@ -323,6 +327,12 @@
   job.tickets = {event.ticket};
   MakeTasks(job);
   SetBounds(job, now, Millis(r.wait_ms), l.estimates[job.queue.name].ratio);
+  if (!FitsBeforeStop(s, job, now)) {
+    RefuseTicket(
+        s, event.ticket, r.id,
+        {verdict::not_run, reason::draining, "this entry stops", 1000});
+    return;
+  }
   l.ids.emplace(job.id, job.seq);
   l.tickets.emplace(event.ticket, job.seq);
   if (job.deadline.value != 0)
@@ -811,6 +821,21 @@
 
 // ---- [7] Tick ---------------------------------------------------------------
 
+// Failure guarded against: after an outage workers come back one by one, and by
+// the few that are there first all jobs would look hopeless. While their room
+// grows, and this long after, nothing is refused by how fast work is done.
+constexpr micros kSettledAfterGrowth = Millis(1000);
+constexpr int64_t kUnknownRate = int64_t{1} << 50;
+
+void NoteGrowth(entry_state& s, micros now) {
+  int64_t cpu = 0;
+  for (const leased_worker& w : s.leased.workers)
+    cpu += w.takes_work ? w.info.capacity.cpu : 0;
+  if (cpu > s.leased.cpu_taking)
+    s.leased.grown_at = now;
+  s.leased.cpu_taking = cpu;
+}
+
 int64_t FreeCpu(const entry_state& s) {
   int64_t free = 0;
   for (const leased_worker& w : s.leased.workers) {
@@ -829,7 +854,10 @@
     return;
   s.leased.last_refusal = now;
   const std::vector<leased_seq> order = ServeOrder(s.leased, now);
-  for (leased_seq seq : Hopeless(s.leased, order, FreeCpu(s), now))
+  const bool settled = now - s.leased.grown_at > kSettledAfterGrowth;
+  // Without a rate, only what no room could save is hopeless.
+  const int64_t free = settled ? FreeCpu(s) : kUnknownRate;
+  for (leased_seq seq : Hopeless(s.leased, order, free, now))
     Conclude(s, now, s.leased.jobs[seq], leased_outcome::refused,
              {verdict::not_run, reason::deadline_unreachable, "no room in time",
               RetryAfterMs(s)});
@@ -893,6 +921,7 @@
       Orphan(s, w);
     EndOrphans(s, now, worker_id{i});
   }
+  NoteGrowth(s, now);
   CheckLeasedDeadlines(s, now);
   CloseJobs(s, now);
   PlaceWaiting(s, now);
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -156,6 +156,29 @@
   RequireNothingBroken();
 }
 
+// What a user sees: after an outage, when the first worker is back, callers are
+// told to come back later, though the others are back a moment after. Order:
+// all processes die; one sidecar is back first; callers come at once. Cause: by
+// what one worker can do, most of their jobs look hopeless.
+TEST_CASE("all_back_nothing_refused_while_workers_return") {
+  world_options options;
+  options.announce_every = Millis(150);
+  world w(options);
+  w.Pass(Millis(1500));
+  for (int i = 0; i < 3; ++i)
+    w.KillEntry(i);
+  w.KillSidecar(0);
+  w.Pass(Millis(300));
+  for (int i = 1; i < 4; ++i)
+    w.KillSidecar(i);
+  w.Pass(Millis(420));
+  for (int i = 0; i < 32; ++i)
+    w.Submit(MakeJob("job-" + std::to_string(i), 4, 2000, 300));
+  w.Pass(Millis(4000));
+  REQUIRE(w.Count(job_fate::refused) == 0);
+  REQUIRE(w.Count(job_fate::completed) == 32);
+}
+
 // What a user sees: under a burst every job waits as long as it possibly can,
 // and half of them are then refused. Order: 4 workers get four times their load
 // for a second. What can't be served in time is refused by the work that stands
@@ -232,6 +255,24 @@
   RequireNothingBroken();
 }
 
+// What a user sees: a refusal from an entry that had seconds left to serve.
+// Order: the entry is told to stop; a caller uses its open connection once
+// more, 3 s later. A short job still fits into the time to stop; a long one
+// does not.
+TEST_CASE_METHOD(leased_jobs, "entry_stopping_takes_what_it_can_still_finish") {
+  entry_state& entry = *w.entries[0].core;
+  entry.options.leased.drain_accept = Millis(2400);
+  entry.options.leased.drain_close = Millis(2400);
+  entry.leased.options = entry.options.leased;
+  w.entries[0].inbox.emplace_back(entry_drain_requested{});
+  w.Pass(Millis(3000));
+  w.SubmitTo(0, MakeJob("short", 2, 1000, 100));
+  w.SubmitTo(0, MakeJob("long", 2, 1000, 3000));
+  w.Pass(Millis(400));
+  REQUIRE(w.jobs["short"].fate == job_fate::completed);
+  REQUIRE(w.jobs["long"].fate == job_fate::refused);
+}
+
 // ---- [4] Failures of processes ----------------------------------------------
 
 // What a user sees: a confirmed field booked twice. Order: the entry that took
