A sidecar that has forgotten an entry numbers its ends on

Cause: after a goodbye, or a minute of silence, a sidecar forgets an entry and counts its ends from 1 again; the entry takes them for ends it has had, and its jobs never end. Ruled out: the caller's deadlines, the time left. Change: numbering goes on from what the entry has acknowledged, and an entry that has said goodbye takes no job more.

--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -377,13 +377,17 @@
                    micros now,
                    incarnation owner_name,
                    run_owner& owner,
-                   const std::vector<run_ref>& known) {
+                   const lease_orders& orders) {
+  // Failure guarded against: this process has forgotten the entry (it said
+  // goodbye, or was silent for long) and counts its ends from 1 again; the
+  // entry takes each for one that it has had, and its jobs never end.
+  owner.next_end = std::max(owner.next_end, orders.acked_end + 1);
   owner.starts_seen = 0;
   owner.ends_told = 0;
   owner.worker_told = false;
   owner.stragglers.clear();
   owner.due = true;
-  const std::set<run_ref> wanted(known.begin(), known.end());
+  const std::set<run_ref> wanted(orders.known.begin(), orders.known.end());
   for (auto& [task, run] : k.runs) {
     if (run.owner == owner_name && wanted.count(run.start.ref) == 0)
       StopRun(k, now, run);
@@ -732,7 +736,7 @@
   AckEnds(owner, orders.acked_end);
   owner.wants_room = orders.wants_room;
   if (orders.is_first)
-    ReconcileRuns(k, now, owner_name, owner, orders.known);
+    ReconcileRuns(k, now, owner_name, owner, orders);
   for (const run_ref& ref : orders.stops)
     TakeRunStop(k, now, owner_name, ref);
   const bool answers = owner_name == k.grantee && !orders.starts.empty();
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -276,6 +276,9 @@
 bool FitsBeforeStop(const entry_state& s, const leased_job& job, micros now) {
   if (!s.draining)
     return true;
+  // Sidecars have been told goodbye, and the process is about to end.
+  if (s.drained_said)
+    return false;
   const leased_options& o = s.leased.options;
   const micros closes = s.drain_since + o.drain_accept + o.drain_close;
   return job.worthless_from < closes;
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -264,6 +264,8 @@
   entry.options.leased.drain_accept = Millis(2400);
   entry.options.leased.drain_close = Millis(2400);
   entry.leased.options = entry.options.leased;
+  w.SubmitTo(0, MakeJob("running", 1, 1000, 3600));
+  w.Pass(Millis(50));
   w.entries[0].inbox.emplace_back(entry_drain_requested{});
   w.Pass(Millis(3000));
   w.SubmitTo(0, MakeJob("short", 2, 1000, 100));
@@ -450,6 +452,23 @@
   REQUIRE(k.worker.life == "second");
 }
 
+// What a user sees: jobs of an entry that never end, though their tasks do.
+// Order: the sidecar forgets the entry (a goodbye, or a minute of silence); the
+// entry comes back, and has had more ends than the sidecar now counts.
+TEST_CASE_METHOD(one_keeper, "owner_forgotten_and_back_ends_are_numbered_on") {
+  ForgetOwner(k, kOwner);
+  lease_orders orders = Order("job", 1);
+  orders.is_first = true;
+  orders.acked_end = 10;
+  TakeOrders(k, now, kOwner, orders);
+  TakeKeeperEvent(
+      k, now,
+      run_start_answered{Ref("job", 1), "life", worker_answer::no_room});
+  const lease_reports report = ReportFor(k, now, kOwner);
+  REQUIRE(report.ends.size() == 1);
+  REQUIRE(report.ends[0].number == 11);
+}
+
 // While calls get lost, looks are short: a lost one leaves ends unseen.
 TEST_CASE_METHOD(one_keeper, "look_lost_the_next_ones_wait_shorter") {
   TakeOrders(k, now, kOwner, Order("job", 1));
