--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -390,12 +390,14 @@
   estimate.ratio = estimate.ratio * kEstimateKeep + ratio * (1 - kEstimateKeep);
 }
 
+// Tasks lie in the order of steps and indices.
 leased_task_row* FindTask(leased_job& job, const leased_task& task) {
-  for (leased_task_row& row : job.tasks) {
-    if (row.task == task)
-      return &row;
-  }
-  return nullptr;
+  size_t at = task.index;
+  for (size_t step = 0; step < task.step && step < job.steps.size(); ++step)
+    at += job.steps[step].count;
+  if (at >= job.tasks.size() || job.tasks[at].task != task)
+    return nullptr;
+  return &job.tasks[at];
 }
 
 void FinishLeasedTask(entry_state& s,
