Tests: a process is restarted when the one before has closed all its ports

Entry_WhenRestartedAfterADay_IsFoundAgain failed once in a full run, alone on the machine: "can't listen on ... for sidecars". Cause: entries close their callers' port first since the change to planned stops, and finish their streams after; the test took the closed port for the end of the process, and started the next one while the old one still had the other port. Restart now waits for both.

--- a/tests/system.cc
+++ b/tests/system.cc
@@ -37,6 +37,13 @@
 
 }  // namespace
 
+bool IsListening(const std::string& address) {
+  http_call call;
+  call.url = "http://" + address + "/healthz";
+  call.timeout_ms = 1000;
+  return FetchOnce(std::move(call)).sent;
+}
+
 bool Eventually(const std::function<bool()>& condition, int seconds) {
   const auto until =
       std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
@@ -103,6 +110,13 @@
 }
 
 child test_system::Restart(const std::string& role, int i) {
+  // A process that stops closes its port for callers first; the next one needs
+  // all of them. (Behind a proxy the address of its streams is the proxy's.)
+  for (const char* port : {"http", "link"}) {
+    if (!info.contains("proxy") && info[role][i].contains(port) &&
+        !Eventually([&] { return !IsListening(info[role][i][port]); }))
+      throw std::runtime_error("the process before has not ended");
+  }
   std::vector<std::string> command = info[role][i]["command"];
   const std::string http = info[role][i]["http"];
   command.push_back("--http=" + http);
--- a/tests/system.h
+++ b/tests/system.h
@@ -40,6 +40,9 @@
            const std::string& body = "",
            const std::vector<std::string>& headers = {});
 
+// Whether a connection to the address succeeds, whatever is spoken there.
+bool IsListening(const std::string& address);
+
 // ---- [3] The system ---------------------------------------------------------
 
 struct system_options {
