Leased jobs: take out state that nothing reads

opened_at, stop_retry and placed_at were written or declared and never read, four parameters named the time and did not use it, one include was not needed.

--- a/include/cassiaferry/lease_keeper.h
+++ b/include/cassiaferry/lease_keeper.h
@@ -189,7 +189,6 @@
   std::set<std::string> past_lives;
   bool opened = false;  // nothing runs there that this process doesn't know
   micros life_since{0};
-  micros opened_at{0};
   uint64_t fence = 1;
   uint64_t fence_step = 1 << 20;
   uint64_t seen = 0;  // ends up to this number are taken
@@ -204,7 +203,6 @@
   uint64_t looks_sent = 0;
   uint64_t looks_open = 0;  // number of the look under way; 0: none
   micros look_called{0};
-  micros stop_retry{0};
   std::map<leased_task, kept_run> runs;
   std::map<run_ref, micros> strays;  // runs there that nobody here ordered
   room used;
--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -87,7 +87,6 @@
   uint32_t moved = 0;   // runs that were stopped because they took too long
   bool moving = false;  // the stop of this run is on its way
   worker_id worker;     // while placed
-  micros placed_at{0};
 };
 
 struct leased_job {
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -235,11 +235,10 @@
 
 // ---- [5] The worker's lives -------------------------------------------------
 
-void Open(keeper_state& k, micros now) {
+void Open(keeper_state& k) {
   if (k.opened)
     return;
   k.opened = true;
-  k.opened_at = now;
   for (auto& [name, owner] : k.owners)
     owner.due = true;
 }
@@ -255,7 +254,7 @@
   k.past_lives.insert(k.worker.life);
   k.has_worker = false;
   k.looks_open = 0;
-  Open(k, now);
+  Open(k);
   for (auto& [name, owner] : k.owners)
     owner.due = true;
 }
@@ -475,7 +474,7 @@
   }
 }
 
-void TakeStopAnswer(keeper_state& k, micros now, const run_stop_answered& e) {
+void TakeStopAnswer(keeper_state& k, const run_stop_answered& e) {
   const bool answered = e.answer == worker_answer::ok;
   if (e.answer == worker_answer::stale_fence)
     RaiseFence(k);
@@ -491,7 +490,6 @@
     return;
   run.stop_done = true;
   run.looks_at_change = k.looks_sent;
-  static_cast<void>(now);
 }
 
 void TakeListedEnd(keeper_state& k, micros now, const listed_end& end) {
@@ -576,7 +574,7 @@
   MeasurePace(k, now);
   FindStragglers(k, now);
   if (k.strays.empty())
-    Open(k, now);
+    Open(k);
   if (was_suspect) {
     for (auto& [name, owner] : k.owners)
       owner.due = true;
@@ -601,7 +599,7 @@
   }
   void operator()(const run_stop_answered& e) {
     if (IsCurrent(e.life))
-      TakeStopAnswer(k, now, e);
+      TakeStopAnswer(k, e);
   }
   void operator()(const look_answered& e) {
     if (IsCurrent(e.life))
@@ -621,7 +619,7 @@
   const micros leases_of_others =
       LapsedAfter(k.options.bounds) + k.options.bounds.lease;
   if (k.has_worker && !k.opened && now - k.life_since > leases_of_others)
-    Open(k, now);
+    Open(k);
 }
 
 // Failure guarded against: an owner died, or was cut off, and its job may be
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -12,7 +12,6 @@
 #include "cassiaferry/leased_jobs.h"
 
 #include <algorithm>
-#include <random>
 
 #include "entry_systems.h"
 #include "leased_order.h"
@@ -273,7 +272,7 @@
 
 // A stopping entry serves what its callers still send on open connections, as
 // long as that can be done in the time that is left.
-bool FitsBeforeStop(const entry_state& s, const leased_job& job, micros now) {
+bool FitsBeforeStop(const entry_state& s, const leased_job& job) {
   if (!s.draining)
     return true;
   // Sidecars have been told goodbye, and the process is about to end.
@@ -330,7 +329,7 @@
   job.tickets = {event.ticket};
   MakeTasks(job);
   SetBounds(job, now, Millis(r.wait_ms), l.estimates[job.queue.name].ratio);
-  if (!FitsBeforeStop(s, job, now)) {
+  if (!FitsBeforeStop(s, job)) {
     RefuseTicket(
         s, event.ticket, r.id,
         {verdict::not_run, reason::draining, "this entry stops", 1000});
@@ -737,18 +736,13 @@
   return best;
 }
 
-void PlaceTask(entry_state& s,
-               micros now,
-               leased_job& job,
-               uint32_t index,
-               worker_id id) {
+void PlaceTask(entry_state& s, leased_job& job, uint32_t index, worker_id id) {
   leased_task_row& row = job.tasks[index];
   leased_worker& w = s.leased.workers[id.value];
   const room& need = job.steps[row.task.step].need;
   ++row.run;
   row.state = leased_task_state::placed;
   row.worker = id;
-  row.placed_at = now;
   row.moving = false;
   ++job.placed;
   HoldRoom(s.leased, job, row, 1);
@@ -772,7 +766,7 @@
   for (uint32_t index : job.waiting) {
     const auto worker = ChooseWorker(s, now, job, job.tasks[index].task.step);
     if (worker)
-      PlaceTask(s, now, job, index, *worker);
+      PlaceTask(s, job, index, *worker);
     else
       left.push_back(index);
   }
