--- a/include/cassiaferry/entry.h
+++ b/include/cassiaferry/entry.h
@@ -113,6 +113,10 @@
   ticket_id ticket;  // answered with whether the job was known
   std::string id;
 };
+struct leased_job_asked {
+  ticket_id ticket;
+  std::string id;
+};
 
 using entry_event = std::variant<job_submitted,
                                  job_invalid,
@@ -127,7 +131,9 @@
                                  read_reply,
                                  owner_reply,
                                  leased_job_submitted,
-                                 leased_job_cancelled>;
+                                 leased_job_cancelled,
+                                 leased_job_asked,
+                                 store_answered>;
 
 // ---- [4] Actions ------------------------------------------------------------
 
@@ -159,6 +165,7 @@
 struct answer_cancelled {
   ticket_id ticket;
   bool known = false;
+  bool unavailable = false;  // the store doesn't answer: nothing is promised
 };
 
 using entry_action = std::variant<answer_complete,
@@ -171,6 +178,8 @@
                                   claim_action,
                                   answer_leased_job,
                                   answer_cancelled,
+                                  answer_leased_state,
+                                  store_call,
                                   leased_decision>;
 
 // ---- [5] Tables -------------------------------------------------------------
--- a/include/cassiaferry/lease_keeper.h
+++ b/include/cassiaferry/lease_keeper.h
@@ -49,6 +49,16 @@
   micros straggler_again = Millis(250);  // between two reports of one
   micros grant = Millis(3);  // room is kept so long for the owner it is offered
                              // to: a round trip to it and back, and its tick
+  // The worker may answer a look at once while ends are listed that it has been
+  // told nothing of: looks are then at least this far apart.
+  micros look_gap = Millis(15);
+  // Ends of owners that are silent, or have not stored them for this long, are
+  // told to all entries: their jobs may have another owner by now. Storing
+  // takes 150 ms; a new owner starts nothing for a second after it took over.
+  micros unclaimed_after = Millis(800);
+  micros tell_unclaimed = Millis(300);  // between two tellings
+  bool keeps_ends = false;   // there are durable jobs: an end that nobody here
+                             // ordered may be of one
   uint32_t start_tries = 3;  // then the run is stopped, and reported unstarted
   uint64_t first_fence = 1;  // above every earlier sidecar's of this worker
 };
@@ -165,15 +175,32 @@
   micros told_straggling{0};     // its owner was told that it takes long
 };
 
+// An end of a durable run: the worker lists it until its owner has stored it.
+struct held_end {
+  run_end end;
+  incarnation owner;  // 0: none known
+  micros since{0};
+  bool claimed = false;  // stands in its owner's ends
+  bool lapse = false;    // acknowledged only once the lease has lapsed
+};
+
+// An end as its owner is told of it.
+struct told_end {
+  run_end end;
+  uint64_t listed = 0;  // the worker's number of it, if held; else 0
+};
+
 // What is kept of one entry incarnation.
 struct run_owner {
   micros vouched_until{0};
-  uint64_t starts_seen = 0;  // of this stream
+  uint64_t starts_seen = 0;   // of this stream
+  uint64_t settled_seen = 0;  // of this stream
+  micros unclaimed_told{0};
   bool wants_room = false;
   room offered;  // newest offer to it; the same room is not offered twice
   bool worker_told = false;  // on this stream
   uint64_t next_end = 1;
-  std::deque<run_end> ends;           // unacknowledged
+  std::deque<told_end> ends;          // unacknowledged
   size_t ends_told = 0;               // of `ends`, on this stream
   bool due = false;                   // a report should go out now
   std::vector<straggler> stragglers;  // not yet told
@@ -191,7 +218,9 @@
   micros life_since{0};
   uint64_t fence = 1;
   uint64_t fence_step = 1 << 20;
-  uint64_t seen = 0;  // ends up to this number are taken
+  uint64_t seen = 0;                  // ends up to this number are taken
+  std::map<uint64_t, held_end> held;  // taken, not to be acknowledged yet
+  micros lapsing_until{0};  // no lease is extended before; 0: leases are
   bool has_clock = false;
   int64_t clock_ms = 0;  // the worker's clock ...
   micros clock_at{0};    // ... at or before this moment
--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "cassiaferry/config.h"
+#include "cassiaferry/durable_jobs.h"
 #include "cassiaferry/ids.h"
 #include "cassiaferry/leases.h"
 #include "cassiaferry/metrics.h"
@@ -48,7 +49,7 @@
   std::string payload;
   std::vector<leased_step> steps;
   int64_t wait_ms = 0;   // the caller waits so long; 0: no bound
-  bool durable = false;  // accepted means stored: asked for, not done yet
+  bool durable = false;  // accepted means stored
 };
 
 // ---- [2] Events and actions -------------------------------------------------
@@ -58,14 +59,19 @@
   leased_job_request request;
 };
 
-enum class leased_outcome : uint8_t { completed, failed, cancelled, refused };
-
 struct answer_leased_job {
   ticket_id ticket;
   leased_outcome outcome = leased_outcome::completed;
   failure why;  // of a refusal
 };
 
+// What a caller asked of a job.
+struct answer_leased_state {
+  ticket_id ticket;
+  leased_job_state state = leased_job_state::unknown;
+  bool unavailable = false;  // the store doesn't answer: unknown
+};
+
 // One decision, for the log. Empty members are left out.
 struct leased_decision {
   const char* what = "";  // "job accepted", "run placed", ...
@@ -82,11 +88,12 @@
 struct leased_task_row {
   leased_task task;
   leased_task_state state = leased_task_state::blocked;
-  uint32_t run = 0;     // newest
-  uint32_t failed = 0;  // runs that ended as failed
-  uint32_t moved = 0;   // runs that were stopped because they took too long
-  bool moving = false;  // the stop of this run is on its way
-  worker_id worker;     // while placed
+  uint32_t run = 0;       // newest
+  uint32_t failed = 0;    // runs that ended as failed
+  uint32_t given_up = 0;  // newest run given up without word of its end
+  uint32_t moved = 0;     // runs that were stopped because they took too long
+  bool moving = false;    // the stop of this run is on its way
+  worker_id worker;       // while placed
 };
 
 struct leased_job {
@@ -110,6 +117,14 @@
   uint32_t done = 0;
   bool started = false;  // a run was ordered: it can't be refused any more
   bool queued = false;   // stands in the waiting table
+  durable_part durable;
+};
+
+// A word on an end that the sidecar has not confirmed yet.
+struct open_settlement {
+  uint64_t sequence = 0;  // on this stream
+  uint64_t number = 0;    // of the end; 0: it was unclaimed
+  settled_end what;
 };
 
 // What this entry knows of the worker behind a sidecar.
@@ -123,7 +138,12 @@
   uint64_t starts_sent = 0;  // on this stream
   std::deque<std::pair<uint64_t, room>> in_flight;  // starts not yet reported
   room in_flight_room;
-  uint64_t acked_end = 0;
+  uint64_t acked_end = 0;      // taken
+  std::set<uint64_t> unsaved;  // ends taken that are not stored yet: they, and
+                               // what comes after, are not acknowledged
+  std::deque<open_settlement> settling;
+  uint64_t settled_sent = 0;  // on this stream
+  uint64_t sidecar_life = 0;  // grows with each new process behind the name
   std::map<run_ref, leased_seq> open;  // ordered, no end heard
   // Runs ordered of a sidecar life that is gone; over at the given time.
   std::vector<std::pair<micros, std::vector<run_ref>>> orphaned;
@@ -157,6 +177,7 @@
   micros drain_accept{0};      // a stopping entry takes jobs for so long, as
                                // callers stay on their open connections
   micros drain_close{0};       // ... and then has this long to end them
+  durable_options durable;
 };
 
 // Of one queue's jobs, in milliseconds.
@@ -171,6 +192,7 @@
   uint64_t jobs_failed = 0;
   uint64_t jobs_cancelled = 0;
   uint64_t jobs_refused = 0;
+  uint64_t jobs_accepted = 0;
   uint64_t runs_ordered = 0;
   uint64_t runs_ended[kRunEndKinds] = {};  // by run_end_kind
 };
@@ -193,19 +215,17 @@
   bool asked_for_room = false;  // workers know that tasks wait here
   micros last_tick{0};
   micros settle_until{0};
+  durable_state durable;
   leased_counters counters;
   std::map<std::string, queue_latencies> latencies;  // by queue
 };
 
 // ---- [5] Calls --------------------------------------------------------------
 
-// What a caller may ask of a job. Empty: not known to this entry.
-std::optional<const char*> LeasedJobState(const leased_state& s,
-                                          const std::string& id);
-
 std::string LeasedPrometheusText(const leased_state& s);
 
-// Accepted jobs of the queue none of whose tasks has started.
+// Accepted jobs of the queue none of whose tasks has started. Those of other
+// entries as of their newest words.
 size_t LeasedJobsWaiting(const leased_state& s, const std::string& queue);
 
 }  // namespace cassiaferry
--- a/include/cassiaferry/leases.h
+++ b/include/cassiaferry/leases.h
@@ -85,6 +85,21 @@
   room need;
   uint32_t expected_ms = 0;  // by the entry's estimate
   std::string payload;
+  bool durable =
+      false;  // the worker keeps its end until the owner has stored it
+};
+
+// What becomes of an end that a sidecar holds.
+enum class end_fate : uint8_t {
+  forget,   // it is stored, or of no job that lives: acknowledge it
+  lapse,    // its task has started again since: the worker's lease must lapse
+            // before the end may be acknowledged
+  pass_on,  // this entry is not its job's owner any more: offer it to others
+};
+
+struct settled_end {
+  run_ref ref;
+  end_fate fate = end_fate::forget;
 };
 
 struct lease_orders {
@@ -92,9 +107,11 @@
                      // plus the vouch bound, on the sidecar's clock
   std::vector<run_start> starts;
   std::vector<run_ref> stops;
-  uint64_t acked_end = 0;      // ends up to this number may be forgotten
-  bool wants_room = false;     // tasks wait: tell of freed room at once
-  bool is_first = false;       // of a stream: `known` is complete
+  uint64_t acked_end = 0;  // ends up to this number may be forgotten
+  uint64_t taken_end = 0;  // first of a stream: the newest end ever heard
+  std::vector<settled_end> settled;  // taken before `acked_end`
+  bool wants_room = false;           // tasks wait: tell of freed room at once
+  bool is_first = false;             // of a stream: `known` is complete
   std::vector<run_ref> known;  // runs ordered of this sidecar life, not ended
 };
 
@@ -124,8 +141,9 @@
 };
 
 struct lease_reports {
-  int64_t stamp = 0;         // the sidecar's clock, microseconds
-  uint64_t starts_seen = 0;  // of this stream
+  int64_t stamp = 0;          // the sidecar's clock, microseconds
+  uint64_t starts_seen = 0;   // of this stream
+  uint64_t settled_seen = 0;  // of this stream
   bool takes_work = false;
   room free;
   std::optional<leased_worker_info> worker;  // on change, and first of a stream
@@ -133,6 +151,7 @@
   uint32_t pace = 1000;  // work done against expected, thousandths: a slow
                          // worker has less, one that stands still 0
   std::vector<straggler> stragglers;
+  std::vector<run_end> unclaimed;  // held for owners that are silent or unknown
 };
 
 // ---- [5] Bounds -------------------------------------------------------------
--- a/src/apps/emulate_main.cc
+++ b/src/apps/emulate_main.cc
@@ -4,7 +4,8 @@
 // Contents
 //   [1] Load
 //   [2] Result
-//   [3] Main
+//   [3] Days of faults
+//   [4] Main
 
 #include <gflags/gflags.h>
 
@@ -12,6 +13,7 @@
 #include <cstdio>
 
 #include "../emulator/leased_world.h"
+#include "../emulator/seeded_day.h"
 #include "app.h"
 
 DEFINE_uint64(seed, 1, "first seed");
@@ -21,6 +23,8 @@
 DEFINE_int32(entries, 4, "entries");
 DEFINE_int32(workers, 11, "workers");
 DEFINE_int32(hanging, 0, "workers on which all stands still");
+DEFINE_uint64(days, 0, "play so many seeded days of faults instead");
+DEFINE_uint64(replay, 0, "play the day of this seed, and print what happens");
 DEFINE_double(late_orders, 0, "share of orders to workers that come late");
 
 namespace cassiaferry {
@@ -190,7 +194,41 @@
   return result;
 }
 
-// ---- [3] Main ---------------------------------------------------------------
+// ---- [3] Days of faults -----------------------------------------------------
+
+bool PrintDay(const day_report& day) {
+  if (day.violations.empty())
+    return true;
+  std::printf("seed %llu: jobs %zu, completed %zu, faults %zu, BROKEN %zu\n",
+              static_cast<unsigned long long>(day.seed), day.jobs,
+              day.completed, day.faults, day.violations.size());
+  for (const violation& v : day.violations)
+    std::printf("  at %lld ms: %s\n", static_cast<long long>(ToMillis(v.at)),
+                v.what.c_str());
+  return false;
+}
+
+int PlayDays() {
+  size_t broken = 0;
+  size_t jobs = 0;
+  for (uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_days; ++seed) {
+    const day_report day = PlaySeededDay(seed);
+    jobs += day.jobs;
+    broken += PrintDay(day) ? 0 : 1;
+  }
+  std::printf("%llu days, %zu jobs, %zu days broken\n",
+              static_cast<unsigned long long>(FLAGS_days), jobs, broken);
+  return broken == 0 ? kExitOk : kExitFailed;
+}
+
+int Replay() {
+  const day_report day = PlaySeededDay(
+      FLAGS_replay,
+      [](const std::string& line) { std::printf("%s\n", line.c_str()); });
+  return PrintDay(day) ? kExitOk : kExitFailed;
+}
+
+// ---- [4] Main ---------------------------------------------------------------
 
 void PrintRow(const char* order, uint64_t seed, const play_result& r) {
   std::printf("%-15s %4llu  %.3f  %.3f %6llu %6llu", order,
@@ -211,8 +249,15 @@
   using namespace cassiaferry;
   InitApp(
       "cassiaferry-emulate [--load 1.2] [--seeds 3]\nPlays load on emulated "
-      "workers and prints what callers got, by order.",
+      "workers and prints what callers got, by order.\n"
+      "cassiaferry-emulate --days 200 [--seed 1]\nPlays days of faults and "
+      "prints the seed of each on which a promise is broken; --replay SEED "
+      "prints what happens on it.",
       &argc, &argv);
+  if (FLAGS_replay != 0)
+    return Replay();
+  if (FLAGS_days != 0)
+    return PlayDays();
   constexpr const char* kNames[] = {"first_come", "earliest_start", "priority",
                                     "fair_share"};
   std::printf(
--- a/src/apps/entry_app.cc
+++ b/src/apps/entry_app.cc
@@ -40,6 +40,7 @@
   if (settings.callers.empty())
     return;
   o.leased.enabled = true;
+  o.leased.durable.enabled = !settings.store.empty();
   o.leased.order = settings.order;
   o.leased.bounds = BoundsFor(Millis(settings.lease_max_ms),
                               Millis(settings.resend_after_ms));
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -94,6 +94,7 @@
   void TakeCall(const http_request& r);  // on the control thread
   void SubmitCall(const http_request& r, const queue_config& queue);
   void TakeConfigRow(const stored_row& row);
+  void CallStore(const store_call& call);
   void PublishAddress();
   void LogDecision(const leased_decision& decision);
   void AnswerCaller(ticket_id ticket, http_response response);
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -121,10 +121,7 @@
       loop_.Post(leased_job_cancelled{r.ticket, call.job_id});
       return;
     case platform::caller_verb::state:
-      AnswerCaller(
-          r.ticket,
-          platform::StateResponse(
-              LeasedJobState(state_.leased, call.job_id).value_or(nullptr)));
+      loop_.Post(leased_job_asked{r.ticket, call.job_id});
       return;
     case platform::caller_verb::count:
       AnswerCaller(r.ticket, platform::CountResponse(LeasedJobsWaiting(
@@ -165,18 +162,29 @@
   loop_.Post(config_received{*document});
 }
 
+void entry_app::CallStore(const store_call& call) {
+  const auto answer = [this, id = call.call](rows_reply reply) {
+    loop_.Post(store_answered{id, std::move(reply)});
+  };
+  if (const auto* transaction = std::get_if<row_transaction>(&call.what))
+    store_.transact(*transaction, answer);
+  else
+    store_.page(std::get<row_range>(call.what), answer);
+}
+
 // Sidecars find entries by these rows.
 void entry_app::PublishAddress() {
   publishing_ = true;
   const json value = {{"link", settings_.advertise_link}};
-  store_.put({kDirectoryTable, settings_.name, value.dump()},
-             [this](const rows_reply& reply) {
-               loop_.Call([this, ok = reply.status == store_status::ok] {
-                 publishing_ = false;
-                 address_published_ = ok;
-                 next_publish_ = Now() + kPublishRetry;
-               });
-             });
+  row_transaction put;
+  put.sets.push_back({kDirectoryTable, settings_.name, value.dump()});
+  store_.transact(put, [this](const rows_reply& reply) {
+    loop_.Call([this, ok = reply.status == store_status::ok] {
+      publishing_ = false;
+      address_published_ = ok;
+      next_publish_ = Now() + kPublishRetry;
+    });
+  });
 }
 
 void entry_app::TickLeased() {
@@ -210,7 +218,11 @@
   if (auto* answer = std::get_if<answer_leased_job>(&action))
     AnswerCaller(answer->ticket, platform::OutcomeResponse(*answer));
   else if (auto* cancelled = std::get_if<answer_cancelled>(&action))
-    AnswerCaller(cancelled->ticket, platform::CancelResponse(cancelled->known));
+    AnswerCaller(cancelled->ticket, platform::CancelResponse(*cancelled));
+  else if (auto* state = std::get_if<answer_leased_state>(&action))
+    AnswerCaller(state->ticket, platform::StateResponse(*state));
+  else if (auto* call = std::get_if<store_call>(&action))
+    CallStore(*call);
   else if (auto* decision = std::get_if<leased_decision>(&action))
     LogDecision(*decision);
 }
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -76,6 +76,7 @@
   // A later process has a later base. Should the clock have gone back, the
   // worker's refusals raise the fence.
   o.keeper.first_fence = static_cast<uint64_t>(WallMillis());
+  o.keeper.keeps_ends = settings.contains("store");
   o.heartbeat = micros{o.keeper.bounds.vouch.value / 3};
   o.silence = o.keeper.bounds.vouch;
   o.redial = Millis(100);
--- /dev/null
+++ b/src/core/durable_adoption.cc
@@ -0,0 +1,319 @@
+// Owners of durable jobs that are gone, and how their jobs are taken over.
+//
+// Failure guarded against: an entry dies with jobs that it has accepted. Its
+// row in the owners' table stops changing; another entry changes that row,
+// which makes every write of the dead one's chain fail for good, however late
+// it arrives, and only then reads its jobs and makes them its own. Runs that
+// the dead one ordered are stopped by their sidecars, or lapse, within a known
+// time; nothing starts before. A false alarm costs work, never a promise: the
+// deposed entry's next write fails, and it drops the jobs.
+//
+// Contents
+//   [1] Who lives
+//   [2] Taking over
+//   [3] Answers
+//   [4] Tick
+
+#include <algorithm>
+#include <utility>
+
+#include "cassiaferry/durable_jobs.h"
+#include "durable_rows.h"
+#include "durable_systems.h"
+#include "entry_systems.h"
+#include "leased_systems.h"
+
+namespace cassiaferry {
+
+namespace {
+
+constexpr micros kReadAgain = Millis(100);  // after a page that was not given
+
+// ---- [1] Who lives ----------------------------------------------------------
+
+// A row that has changed, or is new, is counted from now on. While the store
+// does not answer nobody can renew: what was seen before counts for nothing.
+void SeePeer(durable_state& d, micros now, peer_owner peer) {
+  const auto known = d.peers.find(peer.key);
+  const bool same =
+      known != d.peers.end() && known->second.version == peer.version;
+  peer.since = same && !d.poll_failed ? known->second.since : now;
+  d.peers[peer.key] = std::move(peer);
+}
+
+// The process that wrote the row is gone: it stopped, this one has taken its
+// place on its machine, or it has not renewed for long.
+bool IsGone(const entry_state& s, micros now, const peer_owner& peer) {
+  const durable_state& d = s.leased.durable;
+  if (peer.life == d.life || peer.key == d.journal.own.key)
+    return false;
+  return peer.released || peer.name == s.options.name ||
+         now - peer.since >= d.options.dead_after;
+}
+
+// ---- [2] Taking over --------------------------------------------------------
+
+void Log(entry_state& s, const char* what, const adoption& a) {
+  s.actions.push_back(leased_decision{
+      what, "",
+      "owner " + a.from.name + ", life " + a.from.life + ", row version " +
+          std::to_string(a.from.version) + ", unchanged since ms " +
+          std::to_string(ToMillis(a.started - a.from.since)) +
+          (a.from.released ? ", released" : "") + ", jobs " +
+          std::to_string(a.jobs.size())});
+}
+
+void Begin(entry_state& s, micros now, const peer_owner& peer) {
+  durable_state& d = s.leased.durable;
+  d.taking_over.emplace();
+  adoption& a = *d.taking_over;
+  a.from = peer;
+  a.started = now;
+  ++d.counters.adoptions;
+  Log(s, "owner is gone, its jobs are taken over", a);
+  row_transaction rows;
+  rows.expected = {{{kOwnersTable, peer.key}, peer.version}};
+  rows.sets = {{kOwnersTable, peer.key,
+                "{\"life\":\"" + peer.life +
+                    "\",\"name\":\"\",\"taken_by\":\"" + d.life + "\"}"}};
+  WriteRows(d, std::move(rows), {write_purpose::claim_owner, peer.key, {}});
+  a.ops_open = 1;
+}
+
+void ReadPage(entry_state& s, const char* table) {
+  adoption& a = *s.leased.durable.taking_over;
+  a.reading = true;
+  ReadRows(s, {table, a.cursor, 0, !a.cursor.empty()},
+           {read_purpose::adopt, "", {}, false});
+}
+
+void TakeOverJob(entry_state& s, const stored_row& row) {
+  durable_state& d = s.leased.durable;
+  adoption& a = *d.taking_over;
+  if (OwnerOf(row.value) != a.from.life)
+    return;
+  adopted_job& job = a.jobs[row.key];
+  job.value = WithOwner(row.value, d.life);
+  row_transaction rows;
+  rows.expected = {{{kJobsTable, row.key}, row.version}};
+  rows.sets = {{kJobsTable, row.key, job.value}};
+  WriteRows(d, std::move(rows), {write_purpose::adopt_job, row.key, {}});
+  ++a.ops_open;
+}
+
+// Runs of the owner before may go on for as long as its sidecars, and the
+// workers' leases, allow.
+void AddAdopted(entry_state& s,
+                micros now,
+                const std::string& id,
+                const adopted_job& adopted) {
+  leased_state& l = s.leased;
+  std::optional<leased_job> read = ReadJobRow(id, adopted.value);
+  if (!read) {
+    s.actions.push_back(leased_decision{"job row unreadable", id, ""});
+    return;
+  }
+  leased_job& job = *read;
+  job.seq = leased_seq{l.next_job++};
+  job.durable.stage = durable_stage::stored;
+  job.durable.version = adopted.version;
+  job.durable.has_progress = true;
+  job.durable.start_from = now + OverAfter(l.options.bounds);
+  MakeTasks(job, job.durable.epoch << kEpochShift);
+  ReadProgressRow(adopted.progress, job);
+  SetBounds(job, now, micros{0}, l.estimates[job.queue.name].ratio);
+  ++l.durable.jobs;
+  ++l.durable.counters.adopted;
+  leased_job& row = AddLeasedJob(l, std::move(job));
+  LogJob(s, "job taken over", row,
+         "epoch " + std::to_string(row.durable.epoch) + ", tasks " +
+             std::to_string(row.tasks.size()) + ", done " +
+             std::to_string(row.done));
+  if (row.done == row.tasks.size())
+    EndDurableJob(s, row, leased_outcome::completed);
+  else
+    ReleaseTasks(l, row);
+}
+
+// A job that a caller sends here anew while it is being taken over waits until
+// its insertion has failed.
+void AddAllAdopted(entry_state& s, micros now) {
+  adoption& a = *s.leased.durable.taking_over;
+  std::erase_if(a.jobs, [&](const auto& row) {
+    if (!row.second.taken)
+      return true;
+    if (FindLeasedJob(s.leased, row.first) != nullptr)
+      return false;
+    AddAdopted(s, now, row.first, row.second);
+    return true;
+  });
+}
+
+void Close(entry_state& s) {
+  durable_state& d = s.leased.durable;
+  adoption& a = *d.taking_over;
+  row_transaction rows;
+  rows.expected = {{{kOwnersTable, a.from.key}, a.from.version}};
+  rows.removes = {{kOwnersTable, a.from.key}};
+  WriteRows(d, std::move(rows), {write_purpose::close_owner, a.from.key, {}});
+  a.ops_open = 1;
+  a.stage = adoption_stage::closing;
+}
+
+void NextStage(adoption& a, adoption_stage stage) {
+  a.stage = stage;
+  a.cursor.clear();
+  a.read_all = false;
+}
+
+void Abandon(entry_state& s) {
+  durable_state& d = s.leased.durable;
+  d.peers.erase(d.taking_over->from.key);
+  d.taking_over.reset();
+}
+
+}  // namespace
+
+// ---- [3] Answers ------------------------------------------------------------
+
+void TakeOwners(entry_state& s, micros now, const rows_reply& reply) {
+  durable_state& d = s.leased.durable;
+  d.polling = false;
+  if (reply.status != store_status::ok) {
+    d.poll_failed = true;
+    d.next_poll = now + micros{d.options.poll.value / 4};
+    return;
+  }
+  for (const stored_row& row : reply.rows) {
+    if (row.key.starts_with(kCancelPrefix))
+      TakeCancelRow(s, now, row.key.substr(sizeof(kCancelPrefix) - 1));
+    else if (std::optional<peer_owner> peer = ReadOwnerRow(row))
+      SeePeer(d, now, std::move(*peer));
+    d.seen_in_poll.insert(row.key);
+  }
+  if (reply.more && !reply.rows.empty()) {
+    d.polling = true;
+    ReadRows(s, {kOwnersTable, reply.rows.back().key, 0, true},
+             {read_purpose::poll_owners, "", {}, false});
+    return;
+  }
+  std::erase_if(d.peers, [&](const auto& row) {
+    return d.seen_in_poll.count(row.first) == 0;
+  });
+  d.journal.writers = d.peers.count(d.journal.own.key) == 0 ? d.peers.size() + 1
+                                                            : d.peers.size();
+  const bool anybody = !d.seen_in_poll.empty();
+  d.seen_in_poll.clear();
+  d.poll_failed = false;
+  d.polled = true;
+  d.next_poll = now + (anybody ? d.options.poll : d.options.idle_poll);
+}
+
+void TakeAdoptionPage(entry_state& s, micros now, const rows_reply& reply) {
+  durable_state& d = s.leased.durable;
+  if (!d.taking_over)
+    return;
+  adoption& a = *d.taking_over;
+  a.reading = false;
+  if (reply.status != store_status::ok) {
+    a.next_read = now + kReadAgain;
+    return;
+  }
+  for (const stored_row& row : reply.rows) {
+    if (a.stage == adoption_stage::jobs) {
+      TakeOverJob(s, row);
+    } else if (a.stage == adoption_stage::progress) {
+      const auto job = a.jobs.find(row.key);
+      if (job != a.jobs.end())
+        job->second.progress = row.value;
+    } else if (SweeperOf(row.value) == a.from.life) {
+      if (const std::optional<ended_job> ended = ReadEndedRow(row.value))
+        RememberEnded(d, now, row.key,
+                      {ended->outcome, ended->epoch, true, false});
+    }
+  }
+  a.read_all = !reply.more || reply.rows.empty();
+  if (!a.read_all)
+    a.cursor = reply.rows.back().key;
+}
+
+void TakeAdoptionWrite(entry_state& s,
+                       micros now,
+                       const open_write& write,
+                       const journal_result& result) {
+  durable_state& d = s.leased.durable;
+  if (!d.taking_over)
+    return;
+  adoption& a = *d.taking_over;
+  --a.ops_open;
+  switch (write.purpose) {
+    case write_purpose::claim_owner:
+      if (!result.done) {  // it lives, or another entry was first
+        Log(s, "owner not taken over, its row has changed", a);
+        Abandon(s);
+        return;
+      }
+      a.from.version = result.version;
+      NextStage(a, adoption_stage::jobs);
+      return;
+    case write_purpose::adopt_job: {
+      adopted_job& job = a.jobs[write.id];
+      job.taken = result.done;
+      job.version = result.version;
+      return;
+    }
+    default:
+      Log(s, "owner's jobs are taken over", a);
+      Abandon(s);
+      d.next_poll = now;
+      return;
+  }
+}
+
+// ---- [4] Tick ---------------------------------------------------------------
+
+void TickAdoption(entry_state& s, micros now) {
+  durable_state& d = s.leased.durable;
+  if (!d.polling && now >= d.next_poll) {
+    d.polling = true;
+    ReadRows(s, {kOwnersTable, "", 0, false},
+             {read_purpose::poll_owners, "", {}, false});
+  }
+  if (!d.taking_over) {
+    if (s.draining || d.poll_failed || !d.polled)
+      return;
+    const auto gone = std::find_if(
+        d.peers.begin(), d.peers.end(),
+        [&](const auto& row) { return IsGone(s, now, row.second); });
+    if (gone != d.peers.end())
+      Begin(s, now, gone->second);
+    return;
+  }
+  adoption& a = *d.taking_over;
+  if (a.reading || now < a.next_read || a.ops_open > 0 ||
+      a.stage == adoption_stage::claiming || a.stage == adoption_stage::closing)
+    return;
+  if (!a.read_all) {
+    ReadPage(s, a.stage == adoption_stage::jobs       ? kJobsTable
+                : a.stage == adoption_stage::progress ? kProgressTable
+                                                      : kEndedTable);
+    return;
+  }
+  switch (a.stage) {
+    case adoption_stage::jobs:
+      std::erase_if(a.jobs, [](const auto& row) { return !row.second.taken; });
+      NextStage(
+          a, a.jobs.empty() ? adoption_stage::ended : adoption_stage::progress);
+      return;
+    case adoption_stage::progress:
+      AddAllAdopted(s, now);
+      if (a.jobs.empty())
+        NextStage(a, adoption_stage::ended);
+      return;
+    default:
+      Close(s);
+      return;
+  }
+}
+
+}  // namespace cassiaferry
--- /dev/null
+++ b/src/core/durable_rows.cc
@@ -0,0 +1,230 @@
+// Rows of durable jobs, as JSON.
+//
+// Contents
+//   [1] Jobs
+//   [2] Progress
+//   [3] Ends
+//   [4] Owners
+
+#include "durable_rows.h"
+
+#include <utility>
+
+namespace cassiaferry {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kOutcomes[] = {"completed", "failed", "cancelled",
+                                     "refused", "accepted"};
+
+std::string Dump(const json& j) {
+  return j.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+json Parse(const std::string& text) {
+  json j = json::parse(text, nullptr, false);
+  return j.is_object() ? j : json::object();
+}
+
+}  // namespace
+
+// ---- [1] Jobs ---------------------------------------------------------------
+
+namespace {
+
+json StepJson(const leased_step& step) {
+  json j = {{"count", step.count},
+            {"cpu", step.need.cpu},
+            {"memory_mb", step.need.memory_mb},
+            {"expected_ms", step.expected_ms}};
+  if (step.need.gpus != 0)
+    j["gpus"] = step.need.gpus;
+  if (!step.after.empty())
+    j["after"] = step.after;
+  if (!step.label.empty())
+    j["label"] = step.label;
+  if (step.most_per_worker != 0)
+    j["most_per_worker"] = step.most_per_worker;
+  return j;
+}
+
+leased_step ReadStep(const json& j) {
+  leased_step step;
+  step.count = j.at("count");
+  step.need = {j.at("cpu"), j.at("memory_mb"), j.value("gpus", int64_t{0})};
+  step.expected_ms = j.at("expected_ms");
+  step.after = j.value("after", std::vector<uint32_t>());
+  step.label = j.value("label", "");
+  step.most_per_worker = j.value("most_per_worker", 0u);
+  return step;
+}
+
+json QueueJson(const queue_config& q) {
+  return {{"name", q.name},         {"upstream", q.upstream},
+          {"priority", q.priority}, {"max_attempts", q.max_attempts},
+          {"stretch", q.stretch},   {"allowance_ms", q.allowance_ms}};
+}
+
+queue_config ReadQueue(const json& j) {
+  queue_config q;
+  q.name = j.at("name");
+  q.upstream = j.at("upstream");
+  q.priority = j.at("priority");
+  q.max_attempts = j.at("max_attempts");
+  q.stretch = j.at("stretch");
+  q.allowance_ms = j.at("allowance_ms");
+  return q;
+}
+
+}  // namespace
+
+std::string JobRow(const leased_job& job, const std::string& owner) {
+  json steps = json::array();
+  for (const leased_step& step : job.steps)
+    steps.push_back(StepJson(step));
+  return Dump({{"owner", owner},
+               {"epoch", job.durable.epoch},
+               {"queue", QueueJson(job.queue)},
+               {"payload", job.payload},
+               {"steps", std::move(steps)}});
+}
+
+std::string OwnerOf(const std::string& row) {
+  return Parse(row).value("owner", "");
+}
+
+uint32_t EpochOf(const std::string& job_row) {
+  return Parse(job_row).value("epoch", 1u);
+}
+
+std::string WithOwner(const std::string& job_row, const std::string& owner) {
+  json j = Parse(job_row);
+  j["owner"] = owner;
+  j["epoch"] = j.value("epoch", 1u) + 1;
+  return Dump(j);
+}
+
+std::optional<leased_job> ReadJobRow(const std::string& id,
+                                     const std::string& job_row) {
+  try {
+    const json j = json::parse(job_row);
+    leased_job job;
+    job.id = id;
+    job.durable.epoch = j.at("epoch");
+    job.queue = ReadQueue(j.at("queue"));
+    job.payload = j.at("payload");
+    for (const json& step : j.at("steps"))
+      job.steps.push_back(ReadStep(step));
+    return job;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+// ---- [2] Progress -----------------------------------------------------------
+
+std::string ProgressRow(const leased_job& job) {
+  json done = json::array();
+  json failed = json::array();
+  json given_up = json::array();
+  for (size_t i = 0; i < job.tasks.size(); ++i) {
+    const leased_task_row& row = job.tasks[i];
+    if (row.state == leased_task_state::done)
+      done.push_back(i);
+    if (row.failed != 0)
+      failed.push_back({i, row.failed});
+    if (row.given_up != 0)
+      given_up.push_back({i, row.given_up});
+  }
+  json j = {{"done", std::move(done)}};
+  if (!failed.empty())
+    j["failed"] = std::move(failed);
+  if (!given_up.empty())
+    j["given_up"] = std::move(given_up);
+  return Dump(j);
+}
+
+void ReadProgressRow(const std::string& progress_row, leased_job& job) {
+  const json j = Parse(progress_row);
+  for (const json& index : j.value("done", json::array())) {
+    const auto i = index.get<size_t>();
+    if (i >= job.tasks.size() || job.tasks[i].state == leased_task_state::done)
+      continue;
+    job.tasks[i].state = leased_task_state::done;
+    ++job.done;
+    --job.step_left[job.tasks[i].task.step];
+  }
+  for (const json& pair : j.value("failed", json::array())) {
+    const auto i = pair.at(0).get<size_t>();
+    if (i < job.tasks.size())
+      job.tasks[i].failed = pair.at(1);
+  }
+  for (const json& pair : j.value("given_up", json::array())) {
+    const auto i = pair.at(0).get<size_t>();
+    if (i < job.tasks.size())
+      job.tasks[i].given_up = pair.at(1);
+  }
+}
+
+// ---- [3] Ends ---------------------------------------------------------------
+
+std::string EndedRow(const ended_job& ended,
+                     const std::string& sweeper,
+                     const std::string& owner) {
+  return Dump({{"state", kOutcomes[static_cast<size_t>(ended.outcome)]},
+               {"epoch", ended.epoch},
+               {"sweeper", sweeper},
+               {"owner", owner}});
+}
+
+std::string SweeperOf(const std::string& ended_row) {
+  return Parse(ended_row).value("sweeper", "");
+}
+
+std::optional<ended_job> ReadEndedRow(const std::string& ended_row) {
+  const json j = Parse(ended_row);
+  const std::string state = j.value("state", "");
+  for (size_t i = 0; i < std::size(kOutcomes); ++i) {
+    if (state == kOutcomes[i])
+      return ended_job{static_cast<leased_outcome>(i), j.value("epoch", 1u)};
+  }
+  return std::nullopt;
+}
+
+// ---- [4] Owners -------------------------------------------------------------
+
+std::string OwnerFacts(const entry_state& s) {
+  json waiting = json::object();
+  for (leased_seq seq : s.leased.waiting) {
+    const leased_job& job = s.leased.jobs.at(seq);
+    if (!job.started && job.durable.stage == durable_stage::stored)
+      waiting[job.queue.name] = waiting.value(job.queue.name, 0) + 1;
+  }
+  json j = {{"name", s.options.name},
+            {"life", s.leased.durable.life},
+            {"waiting", std::move(waiting)}};
+  if (s.leased.durable.left_jobs)
+    j["released"] = true;
+  const std::string text = Dump(j);
+  return text.substr(1, text.size() - 2);
+}
+
+std::optional<peer_owner> ReadOwnerRow(const stored_row& row) {
+  if (!row.key.starts_with(kEntryPrefix))
+    return std::nullopt;
+  const json j = Parse(row.value);
+  peer_owner peer;
+  peer.key = row.key;
+  peer.version = row.version;
+  peer.name = j.value("name", "");
+  peer.life = j.value("life", "");
+  peer.released = j.value("released", false);
+  const json waiting = j.value("waiting", json::object());
+  for (const auto& [queue, count] : waiting.items())
+    peer.waiting[queue] = count.get<size_t>();
+  return peer;
+}
+
+}  // namespace cassiaferry
--- a/src/core/entry.cc
+++ b/src/core/entry.cc
@@ -58,9 +58,12 @@
     SubmitLeasedJob(s, now, std::move(e));
   }
   void operator()(leased_job_cancelled& e) {
-    const bool known = CancelLeasedJob(s, now, e.id);
-    s.actions.push_back(answer_cancelled{e.ticket, known});
+    CancelLeasedJob(s, now, e.ticket, e.id);
   }
+  void operator()(leased_job_asked& e) {
+    TellLeasedState(s, now, e.ticket, e.id);
+  }
+  void operator()(store_answered& e) { TakeStoreAnswer(s, now, e); }
 };
 
 // ---- [2] Draining -----------------------------------------------------------
@@ -76,6 +79,8 @@
       !s.leased.jobs.empty() ||
       now - s.drain_since < s.options.leased.drain_accept)
     return;
+  if (!DurableJobsSettled(s, now))
+    return;
   if (!ClaimsSettled(s.claims) && now - s.drain_since < s.options.drain_grace)
     return;
   for (worker_row& w : s.workers) {
@@ -103,6 +108,7 @@
   s.claims.self = options.self;
   s.claims.self_address = options.http_address;
   s.leased.options = options.leased;
+  StartDurableJobs(s.leased, options);
   s.options = std::move(options);
   return s;
 }
--- a/src/core/entry_systems.h
+++ b/src/core/entry_systems.h
@@ -87,9 +87,18 @@
 
 void SubmitLeasedJob(entry_state& s, micros now, leased_job_submitted event);
 void DropLeasedCaller(entry_state& s, micros now, ticket_id ticket);
-bool CancelLeasedJob(entry_state& s,
+void CancelLeasedJob(entry_state& s,
                      micros now,
-                     const std::string& id);  // false: not known here
+                     ticket_id ticket,
+                     const std::string& id);
+void TellLeasedState(entry_state& s,
+                     micros now,
+                     ticket_id ticket,
+                     const std::string& id);
+void TakeStoreAnswer(entry_state& s, micros now, const store_answered& event);
+// A stopping entry has written its last word, or has no time left for it.
+bool DurableJobsSettled(const entry_state& s, micros now);
+void StartDurableJobs(leased_state& s, const entry_options& options);
 // A new stream: `same_life` says whether the sidecar behind it is the one that
 // the worker's runs were ordered of.
 void GreetLeases(entry_state& s,
--- /dev/null
+++ b/src/core/journal.cc
@@ -0,0 +1,258 @@
+// Group commit of an entry's writes, as a chain.
+//
+// Contents
+//   [1] Transactions
+//   [2] Answers
+//   [3] Calls
+
+#include "cassiaferry/journal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiaferry {
+
+namespace {
+
+// ---- [1] Transactions -------------------------------------------------------
+
+size_t RowsOf(const row_transaction& t) {
+  return t.expected.size() + t.sets.size() + t.removes.size();
+}
+
+size_t BytesOf(const row_transaction& t) {
+  constexpr size_t kNames = 120;  // table, part, key and member names of a row
+  size_t bytes = RowsOf(t) * kNames;
+  for (const stored_row& row : t.sets)
+    bytes += row.value.size();
+  return bytes;
+}
+
+void Append(row_transaction& to, const row_transaction& from) {
+  to.expected.insert(to.expected.end(), from.expected.begin(),
+                     from.expected.end());
+  to.sets.insert(to.sets.end(), from.sets.begin(), from.sets.end());
+  to.removes.insert(to.removes.end(), from.removes.begin(), from.removes.end());
+}
+
+bool Touches(const row_transaction& t, const row_key& row) {
+  const auto is_row = [&](const auto& r) {
+    return r.table == row.table && r.key == row.key;
+  };
+  return std::any_of(t.sets.begin(), t.sets.end(), is_row) ||
+         std::any_of(t.removes.begin(), t.removes.end(), is_row) ||
+         std::any_of(t.expected.begin(), t.expected.end(),
+                     [&](const row_condition& c) { return c.row == row; });
+}
+
+// One transaction names a row once: a later operation on it waits its turn.
+bool Overlaps(const row_transaction& t, const row_transaction& op) {
+  return std::any_of(op.expected.begin(), op.expected.end(),
+                     [&](const row_condition& c) { return Touches(t, c.row); });
+}
+
+// As many waiting operations as the store takes at once, in order.
+std::vector<journal_op> TakeBatch(journal_state& j) {
+  std::vector<journal_op> batch;
+  row_transaction so_far;
+  constexpr size_t kOwnRows = 2;  // its condition and its write
+  while (!j.waiting.empty()) {
+    const row_transaction& next = j.waiting.front().rows;
+    const bool fits =
+        RowsOf(so_far) + RowsOf(next) + kOwnRows <= kMaxTransactionRows &&
+        BytesOf(so_far) + BytesOf(next) <= kMaxTransactionBytes;
+    if (!batch.empty() && (!fits || Overlaps(so_far, next)))
+      break;
+    Append(so_far, next);
+    batch.push_back(std::move(j.waiting.front()));
+    j.waiting.pop_front();
+  }
+  return batch;
+}
+
+std::string OwnValue(const journal_state& j) {
+  return "{\"beat\":" + std::to_string(j.beat) +
+         (j.facts.empty() ? "" : "," + j.facts) + "}";
+}
+
+void BuildRows(journal_state& j, open_transaction& t) {
+  ++j.beat;
+  t.own_value = OwnValue(j);
+  t.rows = {};
+  t.rows.expected.push_back({j.own, j.own_version});
+  if (j.wanted || !t.ops.empty())
+    t.rows.sets.push_back({j.own.table, j.own.key, t.own_value});
+  else
+    t.rows.removes.push_back(j.own);
+  for (const journal_op& op : t.ops)
+    Append(t.rows, op.rows);
+}
+
+void Send(journal_state& j, micros now) {
+  open_transaction& t = *j.open;
+  t.call = j.next_call++;
+  t.sent = now;
+  if (t.first_sent.value == 0)
+    t.first_sent = now;
+  ++j.transactions;
+  j.calls.emplace_back(t.call, t.rows);
+}
+
+// ---- [2] Answers ------------------------------------------------------------
+
+const stored_row* Find(const std::vector<stored_row>& rows,
+                       const row_key& key) {
+  for (const stored_row& row : rows) {
+    if (row.table == key.table && row.key == key.key && !row.deleted)
+      return &row;
+  }
+  return nullptr;
+}
+
+bool Holds(const row_condition& condition,
+           const std::vector<stored_row>& rows) {
+  const stored_row* row = Find(rows, condition.row);
+  return (row == nullptr ? 0 : row->version) == condition.version;
+}
+
+bool AllHold(const row_transaction& t, const std::vector<stored_row>& rows) {
+  return std::all_of(t.expected.begin(), t.expected.end(),
+                     [&](const row_condition& c) { return Holds(c, rows); });
+}
+
+void Done(journal_state& j, uint64_t version) {
+  const open_transaction t = std::move(*j.open);
+  j.open.reset();
+  const bool removed = t.rows.sets.empty();
+  j.own_version = removed ? 0 : version;
+  j.leased_until = removed ? micros{0} : t.first_sent + j.options.lease;
+  for (const journal_op& op : t.ops)
+    j.results.push_back({op.id, true, version, {}});
+}
+
+void PutBack(journal_state& j, std::vector<journal_op>& ops) {
+  while (!ops.empty()) {
+    j.waiting.push_front(std::move(ops.back()));
+    ops.pop_back();
+  }
+}
+
+void Retry(journal_state& j, micros now) {
+  constexpr uint32_t kMostDoublings = 8;
+  const uint32_t doublings = std::min(j.failures, kMostDoublings);
+  ++j.failures;
+  j.next_send = now + micros{std::min(j.options.backoff.value << doublings,
+                                      j.options.backoff_most.value)};
+}
+
+// Failure guarded against: the answer to a write is lost after it was done. The
+// copy sent again meets its own beat in the row, which nobody else writes.
+void Conflicted(journal_state& j, const std::vector<stored_row>& rows) {
+  open_transaction& t = *j.open;
+  const stored_row* own = Find(rows, j.own);
+  if (!Holds({j.own, j.own_version}, rows)) {
+    const bool removed = t.rows.sets.empty() && own == nullptr;
+    if (removed || (own != nullptr && own->value == t.own_value)) {
+      Done(j, own == nullptr ? 0 : own->version);
+      return;
+    }
+    j.deposed = true;
+    return;
+  }
+  // The chain holds: some operation's own condition does not.
+  std::vector<journal_op> again;
+  for (journal_op& op : t.ops) {
+    if (AllHold(op.rows, rows)) {
+      again.push_back(std::move(op));
+      continue;
+    }
+    journal_result result{op.id, false, 0, {}};
+    for (const row_condition& c : op.rows.expected) {
+      if (const stored_row* row = Find(rows, c.row))
+        result.found.push_back(*row);
+    }
+    j.results.push_back(std::move(result));
+  }
+  j.open.reset();
+  PutBack(j, again);
+}
+
+}  // namespace
+
+// ---- [3] Calls --------------------------------------------------------------
+
+journal_op_id Write(journal_state& j, row_transaction rows) {
+  const journal_op_id id{j.next_op++};
+  j.waiting.push_back({id, std::move(rows)});
+  return id;
+}
+
+bool Withdraw(journal_state& j, journal_op_id id) {
+  return std::erase_if(j.waiting,
+                       [&](const journal_op& op) { return op.id == id; }) != 0;
+}
+
+void TakeJournalReply(journal_state& j,
+                      micros now,
+                      uint64_t call,
+                      const rows_reply& reply) {
+  if (!j.open || j.open->call != call || j.deposed)
+    return;
+  open_transaction& t = *j.open;
+  t.call = 0;
+  if (reply.status == store_status::no_answer) {
+    t.may_be_done = true;
+    Retry(j, now);
+    return;
+  }
+  if (reply.status == store_status::ok ||
+      reply.status == store_status::conflict) {
+    j.failures = 0;
+    j.last_answer = now;
+    j.next_send = t.sent + micros{j.options.gather_each.value *
+                                  static_cast<int64_t>(j.writers)};
+    if (reply.status == store_status::ok)
+      Done(j, reply.version);
+    else
+      Conflicted(j, reply.rows);
+    return;
+  }
+  Retry(j, now);
+  if (t.may_be_done)
+    return;
+  // Nothing of it was done, and nothing will be.
+  PutBack(j, t.ops);
+  j.open.reset();
+}
+
+void TickJournal(journal_state& j, micros now) {
+  if (j.deposed || now < j.next_send)
+    return;
+  if (j.open) {
+    if (j.open->call == 0)
+      Send(j, now);
+    return;
+  }
+  const bool renewal_due =
+      j.wanted &&
+      now + j.options.lease >= j.leased_until + j.options.renew_every;
+  const bool removal_due = !j.wanted && j.own_version != 0 && j.waiting.empty();
+  if (j.waiting.empty() && !renewal_due && !removal_due)
+    return;
+  if (j.failures == 0 && !IsUnreachable(j, now))
+    j.last_answer = now;
+  j.open.emplace();
+  j.open->ops = TakeBatch(j);
+  BuildRows(j, *j.open);
+  Send(j, now);
+}
+
+bool IsOwner(const journal_state& j, micros now) {
+  return !j.deposed && j.own_version != 0 && now < j.leased_until;
+}
+
+bool IsUnreachable(const journal_state& j, micros now) {
+  return j.failures > 0 && now - j.last_answer > j.options.unreachable;
+}
+
+}  // namespace cassiaferry
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -46,26 +46,54 @@
              incarnation owner_name,
              const run_ref& ref,
              run_end_kind how,
-             uint32_t run_ms) {
+             uint32_t run_ms,
+             uint64_t listed = 0) {
   const auto it = k.owners.find(owner_name);
   if (it == k.owners.end())
     return;
   run_owner& owner = it->second;
   ++k.runs_ended[static_cast<size_t>(how)];
-  owner.ends.push_back({owner.next_end++, ref, how, run_ms});
+  owner.ends.push_back({{owner.next_end++, ref, how, run_ms}, listed});
   owner.due = true;
 }
 
+// Failure guarded against: a worker that has been told that an end is known
+// forgets it; if its job's owner dies before it has stored the end, the next
+// owner runs the task again. So the end is acknowledged after it is stored.
+void HoldEnd(keeper_state& k,
+             micros now,
+             incarnation owner,
+             const listed_end& end,
+             uint32_t run_ms) {
+  const bool counts =
+      end.how == run_end_kind::done || end.how == run_end_kind::failed;
+  if (!counts)
+    return;
+  const bool claimed = k.owners.count(owner) != 0;
+  k.held[end.number] = {
+      {0, end.ref, end.how, run_ms}, owner, now, claimed, false};
+}
+
+// Ends up to this number may be forgotten by the worker.
+uint64_t AckedEnds(const keeper_state& k) {
+  return k.held.empty() ? k.seen : k.held.begin()->first - 1;
+}
+
+// `listed`: the worker's number of the end; 0: it listed none.
 void EndRun(keeper_state& k,
             micros now,
             const leased_task& task,
-            run_end_kind how) {
+            run_end_kind how,
+            uint64_t listed = 0) {
   const auto it = k.runs.find(task);
   const kept_run run = std::move(it->second);
   k.runs.erase(it);
   k.used = k.used - run.start.need;
-  TellEnd(k, run.owner, run.start.ref, how,
-          static_cast<uint32_t>(ToMillis(now - run.since)));
+  const auto run_ms = static_cast<uint32_t>(ToMillis(now - run.since));
+  if (run.start.durable && listed != 0)
+    HoldEnd(k, now, run.owner, {listed, run.start.ref, how}, run_ms);
+  TellEnd(k, run.owner, run.start.ref, how, run_ms,
+          k.held.count(listed) != 0 ? listed : 0);
 }
 
 void EndAll(keeper_state& k, micros now, run_end_kind how) {
@@ -223,10 +251,11 @@
   call_look look;
   look.life = k.worker.life;
   look.fence = k.fence;
-  look.seen = k.seen;
+  look.seen = AckedEnds(k);
   // What runs there unknown to this process gets no extension: it is stopped,
   // or lapses.
-  const bool extends = k.opened && k.has_clock && !k.runs.empty();
+  const bool extends =
+      k.opened && k.has_clock && !k.runs.empty() && k.lapsing_until.value == 0;
   look.lease_until_ms = extends ? GrantLease(k, now) : 0;
   look.wait_ms = k.opened ? ToMillis(LookWait(k, now)) : 0;
   look.timeout_ms = look.wait_ms + ToMillis(CallTimeout(k, now));
@@ -249,14 +278,19 @@
        k.worker.life + ", runs " + std::to_string(k.runs.size()));
   EndAll(k, now, run_end_kind::lost);
   k.strays.clear();
+  k.held.clear();
+  k.lapsing_until = {};
   if (k.past_lives.size() >= kMaxPastLives)
     k.past_lives.clear();
   k.past_lives.insert(k.worker.life);
   k.has_worker = false;
   k.looks_open = 0;
   Open(k);
-  for (auto& [name, owner] : k.owners)
+  for (auto& [name, owner] : k.owners) {
     owner.due = true;
+    for (told_end& told : owner.ends)
+      told.listed = 0;
+  }
 }
 
 void BeginLife(keeper_state& k, micros now, const leased_worker_announced& e) {
@@ -365,7 +399,7 @@
 
 bool HasEnd(const run_owner& owner, const run_ref& ref) {
   return std::any_of(owner.ends.begin(), owner.ends.end(),
-                     [&](const run_end& e) { return e.ref == ref; });
+                     [&](const told_end& e) { return e.end.ref == ref; });
 }
 
 // A new stream of this owner: it names the runs that it ordered from this very
@@ -380,8 +414,10 @@
   // Failure guarded against: this process has forgotten the entry (it said
   // goodbye, or was silent for long) and counts its ends from 1 again; the
   // entry takes each for one that it has had, and its jobs never end.
-  owner.next_end = std::max(owner.next_end, orders.acked_end + 1);
+  const uint64_t heard = std::max(orders.taken_end, orders.acked_end);
+  owner.next_end = std::max(owner.next_end, heard + 1);
   owner.starts_seen = 0;
+  owner.settled_seen = 0;
   owner.ends_told = 0;
   owner.worker_told = false;
   owner.stragglers.clear();
@@ -400,14 +436,73 @@
   }
 }
 
-void AckEnds(run_owner& owner, uint64_t through) {
-  while (!owner.ends.empty() && owner.ends.front().number <= through) {
+void AckEnds(keeper_state& k, run_owner& owner, uint64_t through) {
+  while (!owner.ends.empty() && owner.ends.front().end.number <= through) {
+    k.held.erase(owner.ends.front().listed);
     owner.ends.pop_front();
     if (owner.ends_told > 0)
       --owner.ends_told;
   }
 }
 
+// The end stands in no owner's list any more.
+void Unclaim(keeper_state& k, uint64_t listed) {
+  held_end& held = k.held[listed];
+  held.claimed = false;
+  const auto it = k.owners.find(held.owner);
+  if (it == k.owners.end())
+    return;
+  for (told_end& told : it->second.ends) {
+    if (told.listed == listed)
+      told.listed = 0;
+  }
+}
+
+void BeginLapse(keeper_state& k, micros now) {
+  if (k.lapsing_until.value != 0)
+    return;
+  k.lapsing_until = std::max(now, k.lease_over) + k.options.bounds.margin;
+  Note(k, "lease left to lapse",
+       "an end came too late, runs " + std::to_string(k.runs.size()));
+}
+
+void SettleHeld(keeper_state& k,
+                micros now,
+                incarnation by,
+                const settled_end& settled) {
+  constexpr const char* kFates[] = {"forgotten", "lease must lapse",
+                                    "offered to others"};
+  for (auto it = k.held.begin(); it != k.held.end(); ++it) {
+    if (it->second.end.ref != settled.ref)
+      continue;
+    Note(k, "held end settled",
+         settled.ref.task.job + "." + std::to_string(settled.ref.task.step) +
+             "." + std::to_string(settled.ref.task.index) + ", run " +
+             std::to_string(settled.ref.run) + ", " +
+             kFates[static_cast<size_t>(settled.fate)] + ", by " +
+             ToHex(by.value));
+    if (settled.fate == end_fate::forget) {
+      k.held.erase(it);
+      return;
+    }
+    Unclaim(k, it->first);
+    if (settled.fate == end_fate::lapse) {
+      it->second.lapse = true;
+      BeginLapse(k, now);
+    }
+    return;
+  }
+}
+
+// Every run there has ended with the lease: what was to be forgotten after that
+// is.
+void CheckLapse(keeper_state& k, micros now) {
+  if (k.lapsing_until.value == 0 || now < k.lapsing_until)
+    return;
+  k.lapsing_until = {};
+  std::erase_if(k.held, [](const auto& row) { return row.second.lapse; });
+}
+
 // ---- [7] Answers ------------------------------------------------------------
 
 void RaiseFence(keeper_state& k) {
@@ -434,7 +529,8 @@
 }
 
 void RetryStart(keeper_state& k, micros now, kept_run& run) {
-  if (run.tries < k.options.start_tries && Vouched(k, now, run.owner))
+  if (run.tries < k.options.start_tries && k.lapsing_until.value == 0 &&
+      Vouched(k, now, run.owner))
     CallStart(k, now, run);
   else
     StopRun(k, now, run);
@@ -497,11 +593,14 @@
     return;
   k.seen = end.number;
   const auto it = k.runs.find(end.ref.task);
-  if (it == k.runs.end() || it->second.start.ref != end.ref)
+  if (it == k.runs.end() || it->second.start.ref != end.ref) {
+    if (k.options.keeps_ends)
+      HoldEnd(k, now, incarnation{}, end, 0);
     return;
+  }
   if (end.how == run_end_kind::done)
     AddProgress(k, now, it->second, 100);
-  EndRun(k, now, leased_task(end.ref.task), end.how);
+  EndRun(k, now, leased_task(end.ref.task), end.how, end.number);
 }
 
 // `look`: the number of the look whose answer lists `running`. A run that was
@@ -671,14 +770,20 @@
   const bool failing = k.last_answer < k.look_called;
   if (failing && now - k.look_called < k.options.call_timeout)
     return;
+  if (!k.held.empty() && now - k.look_called < k.options.look_gap)
+    return;
   CallLook(k, now);
 }
 
 void ForgetIdleOwners(keeper_state& k, micros now) {
   constexpr micros kOwnerMemory = Millis(60'000);
-  std::erase_if(k.owners, [&](const auto& row) {
-    return now - row.second.vouched_until > kOwnerMemory;
-  });
+  std::vector<incarnation> idle;
+  for (const auto& [name, owner] : k.owners) {
+    if (now - owner.vouched_until > kOwnerMemory)
+      idle.push_back(name);
+  }
+  for (incarnation name : idle)
+    ForgetOwner(k, name);
 }
 
 // The next owner that waits for room, in turn. Null: none does.
@@ -731,10 +836,13 @@
   run_owner& owner = k.owners[owner_name];
   owner.vouched_until = std::max(owner.vouched_until,
                                  micros{orders.echo} + k.options.bounds.vouch);
-  AckEnds(owner, orders.acked_end);
-  owner.wants_room = orders.wants_room;
   if (orders.is_first)
     ReconcileRuns(k, now, owner_name, owner, orders);
+  for (const settled_end& settled : orders.settled)
+    SettleHeld(k, now, owner_name, settled);
+  owner.settled_seen += orders.settled.size();
+  AckEnds(k, owner, orders.acked_end);
+  owner.wants_room = orders.wants_room;
   for (const run_ref& ref : orders.stops)
     TakeRunStop(k, now, owner_name, ref);
   const bool answers = owner_name == k.grantee && !orders.starts.empty();
@@ -746,6 +854,7 @@
 
 void TickKeeper(keeper_state& k, micros now) {
   CheckLease(k, now);
+  CheckLapse(k, now);
   StopUnvouched(k, now);
   RetryStops(k, now);
   KeepLooking(k, now);
@@ -757,7 +866,8 @@
 
 bool TakesLeasedWork(const keeper_state& k, micros now) {
   return k.has_worker && k.opened && k.has_clock && !k.draining &&
-         !k.stopping && now - k.last_answer <= k.options.suspect_after;
+         !k.stopping && k.lapsing_until.value == 0 &&
+         now - k.last_answer <= k.options.suspect_after;
 }
 
 room FreeRoom(const keeper_state& k) {
@@ -771,6 +881,25 @@
 
 // ---- [9] Reports ------------------------------------------------------------
 
+namespace {
+
+constexpr size_t kMostUnclaimed = 200;  // in one report
+
+// Failure guarded against: the owner of a run that has ended is dead. Whoever
+// takes its jobs over learns from here what their tasks came to.
+std::vector<run_end> UnclaimedEnds(const keeper_state& k, micros now) {
+  std::vector<run_end> ends;
+  for (const auto& [number, held] : k.held) {
+    const bool heard = held.claimed && Vouched(k, now, held.owner) &&
+                       now - held.since < k.options.unclaimed_after;
+    if (!heard && !held.lapse && ends.size() < kMostUnclaimed)
+      ends.push_back(held.end);
+  }
+  return ends;
+}
+
+}  // namespace
+
 lease_reports ReportFor(keeper_state& k, micros now, incarnation owner_name) {
   lease_reports report;
   report.stamp = now.value;
@@ -782,8 +911,13 @@
     report.worker = k.worker;
   owner.worker_told = k.has_worker;
   for (size_t i = owner.ends_told; i < owner.ends.size(); ++i)
-    report.ends.push_back(owner.ends[i]);
+    report.ends.push_back(owner.ends[i].end);
   owner.ends_told = owner.ends.size();
+  report.settled_seen = owner.settled_seen;
+  if (now - owner.unclaimed_told >= k.options.tell_unclaimed)
+    report.unclaimed = UnclaimedEnds(k, now);
+  if (!report.unclaimed.empty())
+    owner.unclaimed_told = now;
   report.pace = static_cast<uint32_t>(std::max(0.0, k.pace) * 1000);
   report.stragglers.swap(owner.stragglers);
   owner.due = false;
@@ -791,6 +925,8 @@
 }
 
 void ForgetOwner(keeper_state& k, incarnation owner) {
+  for (auto& [number, held] : k.held)
+    held.claimed = held.claimed && held.owner != owner;
   k.owners.erase(owner);
 }
 
--- a/src/core/leased_order.cc
+++ b/src/core/leased_order.cc
@@ -138,7 +138,9 @@
     const leased_job& job = s.jobs.at(seq);
     const double wait = rate > 0 ? ahead / rate : 0;
     const micros done = now + micros{static_cast<int64_t>(wait)} + job.expected;
-    if (!job.started && done > job.worthless_from)
+    const bool may_refuse =
+        !job.started && job.durable.stage == durable_stage::none;
+    if (may_refuse && done > job.worthless_from)
       hopeless.push_back(seq);
     else
       ahead += static_cast<double>(WaitingRoom(job)) *
--- /dev/null
+++ b/src/core/leased_placing.cc
@@ -0,0 +1,287 @@
+// Placing of leased runs, what is refused for want of room, and the tick.
+//
+// Contents
+//   [1] Choosing a worker
+//   [2] Placing
+//   [3] Refusals
+//   [4] Stops and pauses
+//   [5] Tick
+
+#include <algorithm>
+
+#include "cassiaferry/leased_jobs.h"
+#include "entry_systems.h"
+#include "leased_order.h"
+#include "leased_systems.h"
+
+namespace cassiaferry {
+
+namespace {
+
+// Jobs looked at past the first that found no room: smaller ones may fit.
+constexpr int kLookAhead = 12;
+// Workers compared for a task; more draws all entries to the same one.
+constexpr int kChoices = 3;
+
+// ---- [1] Choosing a worker --------------------------------------------------
+
+uint32_t TasksOfStepOn(const leased_job& job, uint32_t step, worker_id id) {
+  return static_cast<uint32_t>(std::count_if(
+      job.tasks.begin(), job.tasks.end(), [&](const leased_task_row& row) {
+        return row.state == leased_task_state::placed &&
+               row.task.step == step && row.worker == id;
+      }));
+}
+
+// Less is better. Free room spreads the load; a worker that is slow or fails
+// much is taken when others are full.
+double Cost(const leased_worker& w,
+            const room& need,
+            double usual_pace,
+            micros now) {
+  constexpr double kFailingWeight = 4;
+  constexpr double kAvoidWeight = 10;
+  const room left = FreeNow(w) - need;
+  const double used =
+      1 - static_cast<double>(left.cpu) /
+              static_cast<double>(std::max<int64_t>(1, w.info.capacity.cpu));
+  const double slowness = usual_pace / std::max(0.05, w.pace) - 1;
+  return used + std::clamp(slowness, 0.0, 4.0) + w.failing * kFailingWeight +
+         (w.avoid_until > now ? kAvoidWeight : 0);
+}
+
+std::optional<worker_id> ChooseWorker(entry_state& s,
+                                      micros now,
+                                      const leased_job& job,
+                                      uint32_t step) {
+  const leased_step& needs = job.steps[step];
+  std::vector<worker_id> fitting;
+  for (uint32_t i = 0; i < s.leased.workers.size(); ++i) {
+    const worker_id id{i};
+    if (!MayTake(s, id, job, needs))
+      continue;
+    if (needs.most_per_worker != 0 &&
+        TasksOfStepOn(job, step, id) >= needs.most_per_worker)
+      continue;
+    fitting.push_back(id);
+  }
+  std::optional<worker_id> best;
+  double best_cost = 0;
+  for (int i = 0; i < kChoices && !fitting.empty(); ++i) {
+    const size_t pick = s.random() % fitting.size();
+    const worker_id id = fitting[pick];
+    fitting.erase(fitting.begin() + static_cast<ptrdiff_t>(pick));
+    const double cost = Cost(s.leased.workers[id.value], needs.need,
+                             s.leased.usual_pace[job.queue.upstream], now);
+    if (!best || cost < best_cost) {
+      best = id;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+// ---- [2] Placing ------------------------------------------------------------
+
+void PlaceTask(entry_state& s, leased_job& job, uint32_t index, worker_id id) {
+  leased_task_row& row = job.tasks[index];
+  leased_worker& w = s.leased.workers[id.value];
+  const room& need = job.steps[row.task.step].need;
+  ++row.run;
+  row.state = leased_task_state::placed;
+  row.worker = id;
+  row.moving = false;
+  ++job.placed;
+  HoldRoom(s.leased, job, row, 1);
+  job.started = true;
+  ++w.starts_sent;
+  w.in_flight.emplace_back(w.starts_sent, need);
+  w.in_flight_room = w.in_flight_room + need;
+  w.open.emplace(RefOf(row), job.seq);
+  const double ratio = s.leased.estimates[job.queue.name].ratio;
+  const auto expected_ms = static_cast<uint32_t>(
+      static_cast<double>(job.steps[row.task.step].expected_ms) * ratio);
+  OrdersFor(s, id).starts.push_back({RefOf(row), need, expected_ms, job.payload,
+                                     job.durable.stage != durable_stage::none});
+  ++s.leased.counters.runs_ordered;
+}
+
+// Places what it can of the job's waiting tasks. False: one found no room.
+bool PlaceJob(entry_state& s, micros now, leased_job& job) {
+  const bool first = !job.started;
+  std::vector<uint32_t> left;
+  for (uint32_t index : job.waiting) {
+    const auto worker = ChooseWorker(s, now, job, job.tasks[index].task.step);
+    if (worker)
+      PlaceTask(s, job, index, *worker);
+    else
+      left.push_back(index);
+  }
+  if (first && job.started) {
+    s.leased.latencies[job.queue.name].queued.Add(ToMillis(now - job.arrival));
+    LogJob(s, "job started", job,
+           "queued_ms " + std::to_string(ToMillis(now - job.arrival)) +
+               ", placed " + std::to_string(job.placed) + " of " +
+               std::to_string(job.tasks.size()));
+  }
+  job.waiting = std::move(left);
+  if (job.waiting.empty())
+    Dequeue(s.leased, job);
+  return job.waiting.empty();
+}
+
+int64_t RetryAfterMs(const entry_state& s) {
+  // Long enough for the backlog to shrink: about a second per two jobs waiting
+  // for each worker.
+  const size_t workers = std::max<size_t>(1, s.leased.workers.size());
+  return 500 + static_cast<int64_t>(500 * s.leased.waiting.size() / workers);
+}
+
+// Cheap, and true for most ticks under overload: no worker has room for even
+// the smallest task that waits. Ranking 200 waiting jobs takes 0.1 ms, a tenth
+// of an entry's processor at a thousand ticks a second.
+bool NobodyHasRoom(const entry_state& s) {
+  int64_t most = 0;
+  for (const leased_worker& w : s.leased.workers) {
+    if (w.takes_work)
+      most = std::max(most, FreeNow(w).cpu);
+  }
+  return std::all_of(
+      s.leased.waiting.begin(), s.leased.waiting.end(),
+      [&](leased_seq seq) { return s.leased.jobs.at(seq).least_cpu > most; });
+}
+
+void PlaceWaiting(entry_state& s, micros now) {
+  if (now < s.leased.settle_until)
+    return;
+  if (s.leased.waiting.empty() || NobodyHasRoom(s))
+    return;
+  MeasureUsualPace(s.leased);
+  int without_room = 0;
+  for (leased_seq seq : ServeOrder(s.leased, now)) {
+    leased_job& job = s.leased.jobs[seq];
+    if (!MayStart(s, now, job))
+      continue;
+    if (!PlaceJob(s, now, job) && ++without_room > kLookAhead)
+      return;
+  }
+}
+
+// ---- [3] Refusals -----------------------------------------------------------
+
+// Failure guarded against: after an outage workers come back one by one, and by
+// the few that are there first all jobs would look hopeless. While their room
+// grows, and this long after, nothing is refused by how fast work is done.
+constexpr micros kSettledAfterGrowth = Millis(1000);
+constexpr int64_t kUnknownRate = int64_t{1} << 50;
+
+void NoteGrowth(entry_state& s, micros now) {
+  int64_t cpu = 0;
+  for (const leased_worker& w : s.leased.workers)
+    cpu += w.takes_work ? w.info.capacity.cpu : 0;
+  if (cpu > s.leased.cpu_taking)
+    s.leased.grown_at = now;
+  s.leased.cpu_taking = cpu;
+}
+
+int64_t FreeCpu(const entry_state& s) {
+  int64_t free = 0;
+  for (const leased_worker& w : s.leased.workers) {
+    if (w.takes_work)
+      free += std::max<int64_t>(0, FreeNow(w).cpu);
+  }
+  return free;
+}
+
+// What can't be of use any more, and has not run, is refused at once: the
+// caller learns that nothing ran, and when to come back. By the work that
+// stands before a job most such refusals come long before its time is over.
+void RefuseHopeless(entry_state& s, micros now) {
+  constexpr micros kEvery = Millis(10);  // ranking takes 0.1 ms for 200 jobs
+  if (s.leased.waiting.empty() || now - s.leased.last_refusal < kEvery)
+    return;
+  s.leased.last_refusal = now;
+  const std::vector<leased_seq> order = ServeOrder(s.leased, now);
+  const bool settled = now - s.leased.grown_at > kSettledAfterGrowth;
+  // Without a rate, only what no room could save is hopeless.
+  const int64_t free = settled ? FreeCpu(s) : kUnknownRate;
+  for (leased_seq seq : Hopeless(s.leased, order, free, now))
+    Conclude(s, now, s.leased.jobs[seq], leased_outcome::refused,
+             {verdict::not_run, reason::deadline_unreachable, "no room in time",
+              RetryAfterMs(s)});
+}
+
+void CheckLeasedDeadlines(entry_state& s, micros now) {
+  while (!s.leased.deadlines.empty() &&
+         s.leased.deadlines.begin()->first <= now) {
+    leased_job& job = s.leased.jobs[s.leased.deadlines.begin()->second];
+    if (job.durable.stage != durable_stage::none) {
+      MissDurableDeadline(s, now, job);
+      continue;
+    }
+    const verdict what = job.started ? verdict::may_have_run : verdict::not_run;
+    Conclude(s, now, job, leased_outcome::refused,
+             {what, reason::deadline, "the caller's deadline passed",
+              job.started ? 0 : RetryAfterMs(s)});
+  }
+}
+
+// ---- [4] Stops and pauses ---------------------------------------------------
+
+// Workers that are full tell of freed room only to those that wait for some.
+void AskForRoom(entry_state& s) {
+  const bool waits = !s.leased.waiting.empty();
+  if (waits && !s.leased.asked_for_room) {
+    for (worker_row& w : s.workers)
+      w.must_send = w.must_send || w.state == worker_link::up;
+  }
+  s.leased.asked_for_room = waits;
+}
+
+// A stop has an end: what still runs then is broken off, and its callers hear
+// so before the process goes.
+void CloseJobs(entry_state& s, micros now) {
+  const leased_options& o = s.leased.options;
+  if (!s.draining || now - s.drain_since < o.drain_accept + o.drain_close)
+    return;
+  std::vector<leased_seq> open;
+  for (const auto& [seq, job] : s.leased.jobs) {
+    if (job.durable.stage == durable_stage::none)
+      open.push_back(seq);
+  }
+  for (leased_seq seq : open) {
+    leased_job& job = s.leased.jobs.at(seq);
+    const verdict what = job.started ? verdict::may_have_run : verdict::not_run;
+    Conclude(s, now, job, leased_outcome::refused,
+             {what, reason::draining, "this entry stops", 1000});
+  }
+}
+
+// Failure guarded against: this process was frozen, and wakes with jobs whose
+// callers have gone elsewhere meanwhile. Nothing starts until what lies in its
+// sockets, among it the ends of those connections, has been read.
+void NotePause(leased_state& s, micros now) {
+  if (s.last_tick.value != 0 && now - s.last_tick > s.options.pause)
+    s.settle_until = now + s.options.settle;
+  s.last_tick = now;
+}
+
+}  // namespace
+
+// ---- [5] Tick ---------------------------------------------------------------
+
+void TickLeasedJobs(entry_state& s, micros now) {
+  if (!s.leased.options.enabled)
+    return;
+  NotePause(s.leased, now);
+  EndLostRuns(s, now);
+  NoteGrowth(s, now);
+  CheckLeasedDeadlines(s, now);
+  CloseJobs(s, now);
+  PlaceWaiting(s, now);
+  RefuseHopeless(s, now);
+  AskForRoom(s);
+  TickDurableJobs(s, now);
+}
+
+}  // namespace cassiaferry
--- /dev/null
+++ b/src/core/leased_systems.h
@@ -0,0 +1,137 @@
+// What the files of leased jobs share. Private to src/core.
+//
+// Contents
+//   [1] Jobs and tasks
+//   [2] Answers
+//   [3] Ends
+//   [4] Workers
+//   [5] Durable jobs
+
+#ifndef CASSIAFERRY_SRC_CORE_LEASED_SYSTEMS_H_
+#define CASSIAFERRY_SRC_CORE_LEASED_SYSTEMS_H_
+
+#include <string>
+
+#include "cassiaferry/entry.h"
+
+namespace cassiaferry {
+
+// ---- [1] Jobs and tasks (leased_jobs.cc) ------------------------------------
+
+leased_job* FindLeasedJob(leased_state& s, leased_seq seq);
+leased_job* FindLeasedJob(leased_state& s, const std::string& id);
+leased_task_row* FindTask(leased_job& job, const leased_task& task);
+run_ref RefOf(const leased_task_row& row);
+void LogJob(entry_state& s,
+            const char* what,
+            const leased_job& job,
+            std::string detail);
+
+void MakeTasks(leased_job& job, uint32_t first_run);
+void SetBounds(leased_job& job, micros now, micros wait, double ratio);
+leased_job& AddLeasedJob(leased_state& s, leased_job job);
+// Tasks whose earlier steps are done wait for room.
+void ReleaseTasks(leased_state& s, leased_job& job);
+void Dequeue(leased_state& s, leased_job& job);
+// Processor room that each queue's tasks hold, for their fair shares.
+void HoldRoom(leased_state& s,
+              const leased_job& job,
+              const leased_task_row& row,
+              int sign);
+// Sends stops for whatever of the job is placed, and forgets it there. A stop
+// that is lost with its stream is made up for when the next one begins: the
+// run is then not among those this entry names.
+void StopRuns(entry_state& s, leased_job& job);
+void EraseLeasedJob(entry_state& s, leased_job& job);
+
+// ---- [2] Answers (leased_jobs.cc) -------------------------------------------
+
+void AnswerTickets(entry_state& s,
+                   leased_job& job,
+                   leased_outcome outcome,
+                   const failure& why);
+// Counts, logs and answers.
+void CountOutcome(entry_state& s,
+                  micros now,
+                  const leased_job& job,
+                  leased_outcome outcome,
+                  const failure& why);
+// ... and ends the job here.
+void Conclude(entry_state& s,
+              micros now,
+              leased_job& job,
+              leased_outcome outcome,
+              const failure& why);
+// ... or, if it is durable, once its end is stored.
+void EndJob(entry_state& s,
+            micros now,
+            leased_job& job,
+            leased_outcome outcome,
+            const failure& why);
+void RefuseTicket(entry_state& s,
+                  ticket_id ticket,
+                  const std::string& id,
+                  failure why);
+
+// ---- [3] Ends (leased_jobs.cc) ----------------------------------------------
+
+void TakeEnd(entry_state& s, micros now, worker_id id, const run_end& end);
+// The task is done, by whichever run.
+void FinishLeasedTask(entry_state& s,
+                      micros now,
+                      leased_job& job,
+                      leased_task_row& row);
+// A run has failed: counts against the task's attempts. True: the job failed.
+bool CountFailedRun(entry_state& s,
+                    micros now,
+                    leased_job& job,
+                    leased_task_row& row);
+
+// ---- [4] Workers (leased_workers.cc) ----------------------------------------
+
+lease_orders& OrdersFor(entry_state& s, worker_id id);
+leased_worker& WorkerOf(entry_state& s, worker_id id);
+room FreeNow(const leased_worker& w);
+bool MayTake(const entry_state& s,
+             worker_id id,
+             const leased_job& job,
+             const leased_step& step);
+void MeasureUsualPace(leased_state& l);
+// Runs on workers that have been silent for long enough are over.
+void EndLostRuns(entry_state& s, micros now);
+
+// ---- [5] Durable jobs (durable_jobs.cc, durable_adoption.cc) ----------------
+
+void SubmitDurableJob(entry_state& s,
+                      micros now,
+                      leased_job_submitted& event,
+                      const queue_config& queue);
+// Every task of the job is done, or one has failed for good, or it is
+// cancelled: the job ends when that is stored.
+void EndDurableJob(entry_state& s, leased_job& job, leased_outcome outcome);
+// What the job has come to must be stored. Not durable: nothing is.
+void MarkUnsaved(entry_state& s, leased_job& job);
+// The end is acknowledged when that is done.
+void AddUnsavedEnd(entry_state& s,
+                   leased_job& job,
+                   worker_id worker,
+                   const run_end& end);
+// The caller of a job that is being accepted has waited for as long as it
+// could.
+void MissDurableDeadline(entry_state& s, micros now, leased_job& job);
+// An end for which this entry has no run open.
+void TakeStrayEnd(entry_state& s, micros now, worker_id id, const run_end& end);
+// Ends that a sidecar keeps for owners it does not hear of.
+void TakeUnclaimedEnds(entry_state& s,
+                       micros now,
+                       worker_id id,
+                       const lease_reports& reports);
+// The run is given up without word of its end.
+void DisownRun(entry_state& s, micros now, leased_job& job, const run_ref& ref);
+// This entry may start the job's tasks.
+bool MayStart(const entry_state& s, micros now, const leased_job& job);
+void TickDurableJobs(entry_state& s, micros now);
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_SRC_CORE_LEASED_SYSTEMS_H_
--- /dev/null
+++ b/src/core/leased_workers.cc
@@ -0,0 +1,308 @@
+// Workers of leased runs, as an entry knows them: streams, reports, pace, what
+// is lost with them.
+//
+// Contents
+//   [1] Room and pace
+//   [2] Runs that are lost
+//   [3] Streams
+//   [4] Stragglers
+//   [5] Frames
+
+#include <algorithm>
+
+#include "cassiaferry/leased_jobs.h"
+#include "entry_systems.h"
+#include "leased_systems.h"
+
+namespace cassiaferry {
+
+namespace {
+
+// A worker at less than this share of the others' pace is slow: it gets a probe
+// or two at a time, and nothing else, so that a recovery shows.
+constexpr double kSlowShare = 0.4;
+constexpr size_t kSlowProbes = 2;
+// A worker that failed more than this share of its newest runs gets one at a
+// time. Failure guarded against: one that fails all at once looks free, and
+// would draw, and fail, every task there is.
+constexpr double kFailingShare = 0.5;
+constexpr size_t kFailingProbes = 1;
+constexpr uint32_t kMostMoves = 2;  // of one task off slow workers
+// A move gains if the pace is below this share of the others', for the part of
+// the work that is left; at a standstill the task is better off waiting.
+constexpr double kMoveGain = 0.7;
+constexpr double kStandstill = 0.15;
+
+}  // namespace
+
+// ---- [1] Room and pace ------------------------------------------------------
+
+lease_orders& OrdersFor(entry_state& s, worker_id id) {
+  worker_row& w = s.workers[id.value];
+  w.must_send = true;
+  if (!w.outbox.orders)
+    w.outbox.orders.emplace();
+  return *w.outbox.orders;
+}
+
+room FreeNow(const leased_worker& w) {
+  return w.free - w.in_flight_room;
+}
+
+namespace {
+
+bool HasLabel(const leased_worker& w, const std::string& label) {
+  return label.empty() || std::find(w.info.labels.begin(), w.info.labels.end(),
+                                    label) != w.info.labels.end();
+}
+
+// Median of what the workers of the same upstream do, so that estimates which
+// are off for all make none look slow.
+double UsualPace(const leased_state& l, const std::string& upstream) {
+  std::vector<double> paces;
+  for (const leased_worker& w : l.workers) {
+    if (w.known && w.takes_work && w.info.upstream == upstream)
+      paces.push_back(w.pace);
+  }
+  if (paces.empty())
+    return 1;
+  const auto middle = paces.begin() + static_cast<ptrdiff_t>(paces.size() / 2);
+  std::nth_element(paces.begin(), middle, paces.end());
+  return *middle;
+}
+
+}  // namespace
+
+void MeasureUsualPace(leased_state& l) {
+  l.usual_pace.clear();
+  for (const leased_worker& w : l.workers) {
+    if (w.known && l.usual_pace.count(w.info.upstream) == 0)
+      l.usual_pace[w.info.upstream] = UsualPace(l, w.info.upstream);
+  }
+}
+
+namespace {
+
+// Runs of this entry that the worker may have at once.
+size_t OpenLimit(const entry_state& s, const leased_worker& w) {
+  if (w.failing > kFailingShare)
+    return kFailingProbes;
+  const auto usual = s.leased.usual_pace.find(w.info.upstream);
+  if (usual != s.leased.usual_pace.end() && w.pace < kSlowShare * usual->second)
+    return kSlowProbes;
+  return SIZE_MAX;
+}
+
+}  // namespace
+
+bool MayTake(const entry_state& s,
+             worker_id id,
+             const leased_job& job,
+             const leased_step& step) {
+  const leased_worker& w = s.leased.workers[id.value];
+  return s.workers[id.value].state == worker_link::up && w.takes_work &&
+         w.info.upstream == job.queue.upstream && Fits(step.need, FreeNow(w)) &&
+         HasLabel(w, step.label) && w.open.size() < OpenLimit(s, w);
+}
+
+leased_worker& WorkerOf(entry_state& s, worker_id id) {
+  if (s.leased.workers.size() <= id.value)
+    s.leased.workers.resize(id.value + 1);
+  return s.leased.workers[id.value];
+}
+
+namespace {
+
+// Ends up to this number may be forgotten: what was stored, or needs not be.
+uint64_t SavedEnds(const leased_worker& w) {
+  return w.unsaved.empty() ? w.acked_end : *w.unsaved.begin() - 1;
+}
+
+void TakeSeenStarts(leased_worker& w, uint64_t seen) {
+  while (!w.in_flight.empty() && w.in_flight.front().first <= seen) {
+    w.in_flight_room = w.in_flight_room - w.in_flight.front().second;
+    w.in_flight.pop_front();
+  }
+}
+
+// ---- [2] Runs that are lost -------------------------------------------------
+
+void TakeSeenSettlements(leased_worker& w, uint64_t seen) {
+  while (!w.settling.empty() && w.settling.front().sequence <= seen) {
+    w.unsaved.erase(w.settling.front().number);
+    w.settling.pop_front();
+  }
+}
+
+// Failure guarded against: a sidecar is gone, or out of reach, with runs of
+// this entry. They are over, by the bounds of leases, some time after its last
+// word.
+void EndOrphans(entry_state& s, micros now, worker_id id) {
+  leased_worker& w = s.leased.workers[id.value];
+  std::vector<run_ref> over;
+  std::erase_if(w.orphaned, [&](const auto& batch) {
+    if (batch.first > now)
+      return false;
+    over.insert(over.end(), batch.second.begin(), batch.second.end());
+    return true;
+  });
+  for (const run_ref& ref : over)
+    TakeEnd(s, now, id, {0, ref, run_end_kind::lost, 0});
+}
+
+void Orphan(entry_state& s, leased_worker& w) {
+  if (w.open.empty())
+    return;
+  std::vector<run_ref> refs;
+  for (const auto& [ref, seq] : w.open)
+    refs.push_back(ref);
+  w.orphaned.emplace_back(w.heard + OverAfter(s.leased.options.bounds),
+                          std::move(refs));
+}
+
+}  // namespace
+
+void EndLostRuns(entry_state& s, micros now) {
+  for (uint32_t i = 0; i < s.leased.workers.size(); ++i) {
+    leased_worker& w = s.leased.workers[i];
+    const bool down = s.workers[i].state == worker_link::down;
+    if (down && w.orphaned.empty() &&
+        now > w.heard + OverAfter(s.leased.options.bounds))
+      Orphan(s, w);
+    EndOrphans(s, now, worker_id{i});
+  }
+}
+
+// ---- [3] Streams ------------------------------------------------------------
+
+void GreetLeases(entry_state& s,
+                 worker_id id,
+                 bool same_life,
+                 entry_frame& frame) {
+  leased_worker& w = WorkerOf(s, id);
+  w.starts_sent = 0;
+  w.in_flight.clear();
+  w.in_flight_room = {};
+  w.takes_work = false;
+  if (!same_life) {
+    Orphan(s, w);
+    w.acked_end = 0;
+    w.unsaved.clear();
+    w.settling.clear();
+    ++w.sidecar_life;
+  }
+  w.settled_sent = 0;
+  lease_orders first;
+  first.is_first = true;
+  first.acked_end = SavedEnds(w);
+  first.taken_end = w.acked_end;
+  for (open_settlement& open : w.settling) {
+    open.sequence = ++w.settled_sent;
+    first.settled.push_back(open.what);
+  }
+  // Runs of an earlier life of the sidecar are not its to explain.
+  std::set<run_ref> earlier;
+  for (const auto& [over_at, refs] : w.orphaned)
+    earlier.insert(refs.begin(), refs.end());
+  for (const auto& [ref, seq] : w.open) {
+    if (earlier.count(ref) == 0)
+      first.known.push_back(ref);
+  }
+  frame.orders = std::move(first);
+}
+
+void LoseLeaseLink(entry_state& s, worker_id id) {
+  leased_worker& w = WorkerOf(s, id);
+  w.takes_work = false;
+}
+
+// ---- [4] Stragglers ---------------------------------------------------------
+
+namespace {
+
+bool AnotherHasRoom(const entry_state& s,
+                    worker_id not_this,
+                    const leased_job& job,
+                    const leased_step& step) {
+  for (uint32_t i = 0; i < s.leased.workers.size(); ++i) {
+    if (worker_id{i} != not_this && MayTake(s, worker_id{i}, job, step))
+      return true;
+  }
+  return false;
+}
+
+bool IsSlow(const entry_state& s, const leased_worker& w, double share) {
+  const auto usual = s.leased.usual_pace.find(w.info.upstream);
+  return usual != s.leased.usual_pace.end() && w.pace < share * usual->second;
+}
+
+// A run on a slow worker is stopped if the task is sooner done elsewhere; its
+// end, once it is told, makes the task wait again. Never two runs at a time. On
+// a worker as fast as others a long run is just a long task, and stays.
+void MoveStraggler(entry_state& s, worker_id id, const straggler& slow) {
+  const leased_worker& w = s.leased.workers[id.value];
+  const auto open = w.open.find(slow.ref);
+  if (open == w.open.end())
+    return;
+  leased_job* job = FindLeasedJob(s.leased, open->second);
+  leased_task_row* row =
+      job == nullptr ? nullptr : FindTask(*job, slow.ref.task);
+  if (row == nullptr || row->moving || row->moved >= kMostMoves)
+    return;
+  const double left = (100.0 - slow.percent) / 100;
+  const bool gains = IsSlow(s, w, left * kMoveGain) &&
+                     AnotherHasRoom(s, id, *job, job->steps[row->task.step]);
+  if (!gains && !IsSlow(s, w, left * kStandstill))
+    return;
+  row->moving = true;
+  ++row->moved;
+  OrdersFor(s, id).stops.push_back(slow.ref);
+  LogJob(s, "run stopped to move it", *job,
+         "ran_ms " + std::to_string(slow.run_ms) + ", percent " +
+             std::to_string(slow.percent) + ", worker " +
+             s.workers[id.value].name + ", pace " +
+             std::to_string(s.leased.workers[id.value].pace));
+}
+
+}  // namespace
+
+// ---- [5] Frames -------------------------------------------------------------
+
+void TakeReports(entry_state& s,
+                 micros now,
+                 worker_id id,
+                 const lease_reports& reports) {
+  leased_worker& w = WorkerOf(s, id);
+  w.stamp = reports.stamp;
+  w.heard = now;
+  w.takes_work = reports.takes_work;
+  w.free = reports.free;
+  w.pace = reports.pace / 1000.0;
+  if (reports.worker) {
+    if (w.info.life != reports.worker->life) {
+      w.failing = 0;
+    }
+    w.info = *reports.worker;
+    w.known = true;
+  }
+  TakeSeenStarts(w, reports.starts_seen);
+  TakeSeenSettlements(w, reports.settled_seen);
+  for (const run_end& end : reports.ends)
+    TakeEnd(s, now, id, end);
+  TakeUnclaimedEnds(s, now, id, reports);
+  for (const straggler& slow : reports.stragglers)
+    MoveStraggler(s, id, slow);
+  if (!reports.ends.empty())
+    s.workers[id.value].must_send |= s.leased.workers[id.value].open.empty();
+}
+
+void CarryOrders(entry_state& s, worker_id id, entry_frame& frame) {
+  const leased_worker& w = WorkerOf(s, id);
+  if (!frame.orders)
+    frame.orders.emplace();
+  frame.orders->echo = w.stamp;
+  frame.orders->acked_end = SavedEnds(w);
+  frame.orders->wants_room = !s.leased.waiting.empty();
+}
+
+}  // namespace cassiaferry
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -9,7 +9,8 @@
 //   [2] Workers
 //   [3] Processes and streams
 //   [4] Callers
-//   [5] The world
+//   [5] Durable jobs
+//   [6] The world
 
 #ifndef CASSIAFERRY_SRC_EMULATOR_LEASED_WORLD_H_
 #define CASSIAFERRY_SRC_EMULATOR_LEASED_WORLD_H_
@@ -27,6 +28,7 @@
 
 #include "cassiaferry/entry.h"
 #include "cassiaferry/sidecar.h"
+#include "emulated_store.h"
 
 namespace cassiaferry::emulator {
 
@@ -44,7 +46,9 @@
   micros announce_every = Millis(1000);
   micros restart_after = Millis(500);  // of a killed process
   leased_order order = leased_order::fair_share;
-  lease_bounds bounds;  // set from `resend_after` by MakeWorld
+  bool has_store = false;               // entries take durable jobs
+  micros cancel_within = Millis(3000);  // nothing of a job starts later
+  lease_bounds bounds;                  // set from `resend_after` by MakeWorld
 };
 
 // ---- [2] Workers ------------------------------------------------------------
@@ -113,7 +117,14 @@
 
 // ---- [4] Callers ------------------------------------------------------------
 
-enum class job_fate : uint8_t { open, completed, failed, refused, given_up };
+enum class job_fate : uint8_t {
+  open,
+  completed,
+  failed,
+  refused,
+  given_up,
+  cancelled,
+};
 
 struct emulated_job {
   std::string id;
@@ -130,9 +141,37 @@
   uint64_t entry_life = 0;
   uint64_t ticket = 0;   // of the newest send
   bool started = false;  // a worker began a task of it
+  bool durable = false;
+  bool accepted = false;  // a caller was told so
+  micros accepted_at{0};
+  bool refused_all = true;  // every send so far was refused as not run
+  micros cancel_sent{0};
+  micros cancelled_at{0};  // the cancel was confirmed
+};
+
+// ---- [5] Durable jobs -------------------------------------------------------
+
+// What workers saw of one task: what must never be is found from it at the end.
+struct task_start {
+  micros at{0};
+  uint32_t run = 0;
+};
+struct task_end {
+  micros at{0};
+  uint32_t run = 0;
+  run_end_kind how = run_end_kind::done;
+  int worker = 0;
+  std::string life;
+  uint64_t number = 0;
+  bool noted = false;   // acknowledged to the worker
+  bool lapsed = false;  // the worker's lease lapsed before that
+};
+struct task_history {
+  std::vector<task_start> starts;
+  std::vector<task_end> ends;
 };
 
-// ---- [5] The world ----------------------------------------------------------
+// ---- [6] The world ----------------------------------------------------------
 
 struct violation {
   micros at{0};
@@ -145,6 +184,7 @@
   void Pass(micros time);
   void Submit(emulated_job job);  // from a caller, to a random entry
   void SubmitTo(int entry, emulated_job job);
+  void Send(const std::string& job, int entry);  // once more
 
   void KillEntry(int entry);
   void KillSidecar(int sidecar);
@@ -153,6 +193,13 @@
   void CrashWorker(int worker, micros down_for);
   void DrainWorker(int worker);
   void Cut(int entry, int sidecar, micros time);
+  void CutFromStore(int entry, micros time);
+  void StoreFault(micros time,
+                  const char* name,
+                  const std::function<void(emulated_store&)>& on);
+  void Cancel(const std::string& job);  // through a random entry
+  // What the whole run must have kept to: call it once, at the end.
+  void CheckHistories();
   // The connection breaks; its entry sees that after `seen_after`.
   void DropCaller(const std::string& job, micros seen_after = micros{0});
 
@@ -168,6 +215,10 @@
   std::map<std::string, emulated_job> jobs;
   std::vector<violation> violations;
   uint64_t overlaps_checked = 0;
+  // Faults, decisions and starts, a line each; empty: nobody reads them.
+  std::function<void(const std::string&)> log;
+  emulated_store store;
+  std::map<leased_task, task_history> histories;  // of durable jobs
   double cpu_used_us =
       0;  // thousandths of a core, over all workers, integrated
 
@@ -185,6 +236,7 @@
   void At(micros time, action run);
   double Chance();
   void Broken(const std::string& what);
+  void Log(const std::string& who, const std::string& what);
 
   void StartEntry(int entry);
   void StartSidecar(int sidecar);
@@ -214,7 +266,23 @@
   void AnnounceWorker(int worker);
   void CheckStart(int worker, const run_start& start);
 
-  void Send(const std::string& job, int entry);
+  // Durable jobs (durable_world.cc).
+  void ApplyStoreFaults();
+  void CallStore(int entry, const store_call& call);
+  void Ask(const std::string& job);  // for its state, until it has ended
+  void TakeState(const std::string& job, const answer_leased_state& answer);
+  void TakeCancelled(const std::string& job, const answer_cancelled& answer);
+  void TakeDurableAnswer(const std::string& job,
+                         const answer_leased_job& answer);
+  void SendCancel(const std::string& job);
+  template <typename Event>
+  void Post(int entry, Event event);
+  int AnyLiveEntry();
+  void NoteStart(const run_ref& ref);
+  void NoteEnd(int worker, const listed_end& end);
+  void NoteAck(int worker, uint64_t seen);
+  void NoteLapse(int worker);
+
   void Answered(int entry, const answer_leased_job& answer);
   void Unanswered(const std::string& job, uint64_t ticket);
 
@@ -226,6 +294,9 @@
   std::vector<std::shared_ptr<emulated_stream>> streams_;
   std::map<std::pair<int, int>, micros> cut_until_;  // by entry, sidecar
   std::map<std::pair<int, uint64_t>, std::string> tickets_;  // entry, ticket
+  std::map<int, micros> store_cut_until_;                    // by entry
+  std::map<uint64_t, std::function<void(emulated_store&)>> store_faults_;
+  micros store_trouble_until_{0};  // of any entry with the store
 };
 
 // Queues of the emulated configuration, by name.
--- /dev/null
+++ b/src/emulator/seeded_day.cc
@@ -0,0 +1,134 @@
+// Seeded days.
+//
+// Contents
+//   [1] Faults
+//   [2] Jobs
+//   [3] The day
+
+#include "seeded_day.h"
+
+namespace cassiaferry::emulator {
+
+namespace {
+
+constexpr int kSteps = 200;
+constexpr micros kRecovery = Millis(30'000);
+
+// ---- [1] Faults -------------------------------------------------------------
+
+void AddStoreFault(world& w, micros time) {
+  switch (w.random() % 5) {
+    case 0:
+      w.StoreFault(time, "store down",
+                   [](emulated_store& s) { s.down = true; });
+      return;
+    case 1:
+      w.StoreFault(time, "store silent",
+                   [](emulated_store& s) { s.silent = true; });
+      return;
+    case 2:
+      w.StoreFault(time, "store's replies lost",
+                   [](emulated_store& s) { s.lost_share = 0.4; });
+      return;
+    case 3:
+      w.StoreFault(time, "store's writes late",
+                   [](emulated_store& s) { s.late_share = 0.3; });
+      return;
+    default:
+      w.StoreFault(time, "store slow",
+                   [](emulated_store& s) { s.answer_ms = 250; });
+      return;
+  }
+}
+
+void AddFault(world& w) {
+  const int entry = static_cast<int>(w.random() % w.entries.size());
+  const int worker = static_cast<int>(w.random() % w.workers.size());
+  const micros time = Millis(300 + static_cast<int64_t>(w.random() % 7000));
+  switch (w.random() % 11) {
+    case 0:
+      w.KillEntry(entry);
+      return;
+    case 1:
+      w.KillSidecar(worker);
+      return;
+    case 2:
+      w.FreezeEntry(entry, time);
+      return;
+    case 3:
+      w.FreezeSidecar(worker, time);
+      return;
+    case 4:
+      w.CrashWorker(worker, time);
+      return;
+    case 5:
+      w.Cut(entry, worker, time);
+      return;
+    case 6:
+      w.CutFromStore(entry, time);
+      return;
+    case 7:
+      for (int i = 0; i < w.options.entries; ++i)
+        w.KillEntry(i);
+      return;
+    case 8:
+      for (int i = 0; i < w.options.workers; ++i)
+        w.Cut(entry, i, time);
+      return;
+    case 9:
+      w.workers[static_cast<size_t>(worker)].late_share = 0.1;
+      return;
+    default:
+      AddStoreFault(w, time);
+      return;
+  }
+}
+
+// ---- [2] Jobs ---------------------------------------------------------------
+
+emulated_job DrawJob(world& w, int number) {
+  const auto tasks = static_cast<uint32_t>(1 + w.random() % 6);
+  const auto cpu = static_cast<int64_t>(500 + w.random() % 3000);
+  const auto run_ms = static_cast<int64_t>(20 + w.random() % 900);
+  emulated_job job =
+      MakeJob("job-" + std::to_string(number), tasks, cpu, run_ms);
+  job.hopeless = w.random() % 25 == 0;
+  job.durable = w.random() % 5 != 0;
+  return job;
+}
+
+}  // namespace
+
+// ---- [3] The day ------------------------------------------------------------
+
+day_report PlaySeededDay(uint64_t seed,
+                         const std::function<void(const std::string&)>& log) {
+  world_options options;
+  options.seed = seed;
+  options.has_store = true;
+  world w(options);
+  w.log = log;
+  day_report report;
+  report.seed = seed;
+  w.Pass(Millis(1500));
+  for (int step = 0; step < kSteps; ++step) {
+    w.Submit(DrawJob(w, step));
+    if (w.random() % 12 == 0)
+      w.Cancel("job-" + std::to_string(w.random() % (step + 1)));
+    if (w.random() % 12 == 0) {
+      AddFault(w);
+      ++report.faults;
+    }
+    w.Pass(Millis(static_cast<int64_t>(w.random() % 150)));
+  }
+  for (emulated_worker& worker : w.workers)
+    worker.late_share = 0;
+  w.Pass(kRecovery);
+  w.CheckHistories();
+  report.jobs = w.jobs.size();
+  report.completed = w.Count(job_fate::completed);
+  report.violations = w.violations;
+  return report;
+}
+
+}  // namespace cassiaferry::emulator
--- /dev/null
+++ b/src/emulator/seeded_day.h
@@ -0,0 +1,31 @@
+// A day of jobs and faults drawn from a seed, on the emulated world.
+
+#ifndef CASSIAFERRY_SRC_EMULATOR_SEEDED_DAY_H_
+#define CASSIAFERRY_SRC_EMULATOR_SEEDED_DAY_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "leased_world.h"
+
+namespace cassiaferry::emulator {
+
+struct day_report {
+  uint64_t seed = 0;
+  size_t jobs = 0;
+  size_t completed = 0;
+  size_t faults = 0;
+  std::vector<violation> violations;
+};
+
+// Durable and other jobs, cancels, and faults of every kind, overlapping; then
+// time to recover. `log`, if any, gets each fault and decision as a line.
+day_report PlaySeededDay(
+    uint64_t seed,
+    const std::function<void(const std::string&)>& log = {});
+
+}  // namespace cassiaferry::emulator
+
+#endif  // CASSIAFERRY_SRC_EMULATOR_SEEDED_DAY_H_
--- a/src/net/codec.cc
+++ b/src/net/codec.cc
@@ -86,6 +86,7 @@
       batch = out->add_starts();
       batch->set_job(start.ref.task.job);
       batch->set_payload(start.payload);
+      batch->set_durable(start.durable);
     }
     Write(start, batch->add_starts());
   }
@@ -99,6 +100,7 @@
     s.need = Read(start.need());
     s.expected_ms = start.expected_ms();
     s.payload = batch.payload();
+    s.durable = batch.durable();
     out.push_back(std::move(s));
   }
 }
@@ -113,6 +115,12 @@
   out->set_is_first(orders.is_first);
   for (const run_ref& ref : orders.known)
     Write(ref, out->add_known());
+  out->set_taken_end(orders.taken_end);
+  for (const settled_end& settled : orders.settled) {
+    wire::SettledEnd* s = out->add_settled();
+    Write(settled.ref, s->mutable_ref());
+    s->set_fate(static_cast<uint32_t>(settled.fate));
+  }
 }
 
 lease_orders Read(const wire::LeaseOrders& orders) {
@@ -127,6 +135,10 @@
   o.is_first = orders.is_first();
   for (const wire::RunRef& ref : orders.known())
     o.known.push_back(Read(ref));
+  o.taken_end = orders.taken_end();
+  for (const wire::SettledEnd& settled : orders.settled())
+    o.settled.push_back(
+        {Read(settled.ref()), Bounded(settled.fate(), end_fate::pass_on)});
   return o;
 }
 
@@ -145,6 +157,18 @@
           {info.labels().begin(), info.labels().end()}};
 }
 
+void Write(const run_end& end, wire::RunEnd* out) {
+  out->set_number(end.number);
+  Write(end.ref, out->mutable_ref());
+  out->set_how(static_cast<uint32_t>(end.how));
+  out->set_run_ms(end.run_ms);
+}
+
+run_end Read(const wire::RunEnd& end) {
+  return {end.number(), Read(end.ref()),
+          Bounded(end.how(), run_end_kind::superseded), end.run_ms()};
+}
+
 void Write(const lease_reports& reports, wire::LeaseReports* out) {
   out->set_stamp(reports.stamp);
   out->set_starts_seen(reports.starts_seen);
@@ -152,13 +176,11 @@
   Write(reports.free, out->mutable_free());
   if (reports.worker)
     Write(*reports.worker, out->mutable_worker());
-  for (const run_end& end : reports.ends) {
-    wire::RunEnd* e = out->add_ends();
-    e->set_number(end.number);
-    Write(end.ref, e->mutable_ref());
-    e->set_how(static_cast<uint32_t>(end.how));
-    e->set_run_ms(end.run_ms);
-  }
+  for (const run_end& end : reports.ends)
+    Write(end, out->add_ends());
+  out->set_settled_seen(reports.settled_seen);
+  for (const run_end& end : reports.unclaimed)
+    Write(end, out->add_unclaimed());
   out->set_pace(reports.pace);
   for (const straggler& slow : reports.stragglers) {
     wire::Straggler* st = out->add_stragglers();
@@ -177,9 +199,10 @@
   if (reports.has_worker())
     r.worker = Read(reports.worker());
   for (const wire::RunEnd& end : reports.ends())
-    r.ends.push_back({end.number(), Read(end.ref()),
-                      Bounded(end.how(), run_end_kind::superseded),
-                      end.run_ms()});
+    r.ends.push_back(Read(end));
+  r.settled_seen = reports.settled_seen();
+  for (const wire::RunEnd& end : reports.unclaimed())
+    r.unclaimed.push_back(Read(end));
   r.pace = reports.pace();
   for (const wire::Straggler& slow : reports.stragglers())
     r.stragglers.push_back({Read(slow.ref()), slow.run_ms(), slow.percent()});
--- a/src/net/row_store.h
+++ b/src/net/row_store.h
@@ -9,30 +9,10 @@
 #include <cstdint>
 #include <functional>
 #include <string>
-#include <vector>
 
-namespace cassiaferry {
-
-struct stored_row {
-  std::string table;
-  std::string key;
-  std::string value;
-  uint64_t version = 0;  // grows with each change of any row
-  bool deleted = false;  // in a feed: the row is gone
-};
+#include "cassiaferry/rows.h"
 
-enum class store_status : uint8_t {
-  ok,
-  history_gone,  // a feed can't go on from there: read the table anew
-  refused,       // busy or down; nothing was done
-  no_answer,     // unknown; a write may have been done
-};
-
-struct rows_reply {
-  store_status status = store_status::no_answer;
-  std::vector<stored_row> rows;
-  uint64_t version = 0;  // of the whole store, as of this answer
-};
+namespace cassiaferry {
 
 struct row_store {
   using callback = std::function<void(rows_reply)>;  // on any thread, once
@@ -43,8 +23,9 @@
   std::function<
       void(const std::string& table, uint64_t after, int64_t wait_ms, callback)>
       feed;
-  // Sets one row, whatever it holds.
-  std::function<void(const stored_row& row, callback)> put;
+  // One page of a table.
+  std::function<void(const row_range& range, callback)> page;
+  std::function<void(const row_transaction& transaction, callback)> transact;
 };
 
 }  // namespace cassiaferry
--- /dev/null
+++ b/tests/durable_unit_test.cc
@@ -0,0 +1,279 @@
+// Durable jobs: entries, sidecars, workers and the store in the emulated world.
+//
+// Contents
+//   [1] Fixture
+//   [2] Calm
+//   [3] Owners that die
+//   [4] The store
+//   [5] Ends
+//   [6] Cancels
+//   [7] Seeded runs
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "emulator/seeded_day.h"
+
+namespace cassiaferry::emulator {
+namespace {
+
+// ---- [1] Fixture ------------------------------------------------------------
+
+world_options WithStore(uint64_t seed = 1) {
+  world_options o;
+  o.seed = seed;
+  o.has_store = true;
+  return o;
+}
+
+emulated_job MakeDurable(const std::string& id,
+                         uint32_t tasks,
+                         int64_t cpu,
+                         int64_t run_ms) {
+  emulated_job job = MakeJob(id, tasks, cpu, run_ms);
+  job.durable = true;
+  return job;
+}
+
+struct durable_jobs {
+  durable_jobs() : w(WithStore()) { w.Pass(Millis(1500)); }
+
+  void SubmitMany(int count, uint32_t tasks, int64_t cpu, int64_t run_ms) {
+    for (int i = 0; i < count; ++i)
+      w.Submit(
+          MakeDurable("job-" + std::to_string(next++), tasks, cpu, run_ms));
+  }
+
+  void RequireNothingBroken() {
+    w.CheckHistories();
+    for (const violation& v : w.violations)
+      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
+    REQUIRE(w.violations.empty());
+  }
+
+  world w;
+  int next = 0;
+};
+
+// ---- [2] Calm ---------------------------------------------------------------
+
+TEST_CASE_METHOD(durable_jobs, "durable_jobs_calm_accepted_then_completed") {
+  SubmitMany(30, 4, 1000, 100);
+  w.Pass(Millis(100));
+  for (const auto& [id, job] : w.jobs)
+    REQUIRE(job.accepted);
+  w.Pass(Millis(1500));
+  REQUIRE(w.Count(job_fate::completed) == 30);
+  RequireNothingBroken();
+}
+
+// What a user sees: the same booking, sent twice because the first answer was
+// lost, is booked twice. Order: accepted by one entry, sent again to another.
+TEST_CASE_METHOD(durable_jobs, "durable_job_sent_again_elsewhere_is_one_job") {
+  w.SubmitTo(0, MakeDurable("once", 2, 1000, 200));
+  w.Pass(Millis(100));
+  REQUIRE(w.jobs["once"].accepted);
+  w.jobs["once"].accepted = false;
+  w.Send("once", 1);
+  w.Pass(Millis(100));
+  REQUIRE(w.jobs["once"].accepted);
+  w.Pass(Millis(1500));
+  uint64_t starts = 0;
+  for (const emulated_worker& worker : w.workers)
+    starts += worker.starts;
+  REQUIRE(starts == 2);
+  RequireNothingBroken();
+}
+
+TEST_CASE_METHOD(durable_jobs, "durable_job_hopeless_shown_as_failed") {
+  emulated_job job = MakeDurable("hopeless", 1, 1000, 20);
+  job.hopeless = true;
+  w.Submit(std::move(job));
+  w.Pass(Millis(2000));
+  REQUIRE(w.jobs["hopeless"].fate == job_fate::failed);
+  RequireNothingBroken();
+}
+
+// ---- [3] Owners that die ----------------------------------------------------
+
+// What a user sees: a booking was confirmed, and no spreader ever comes. Order:
+// an entry stores the job, answers, and dies for good before it starts a task.
+// Cause: nobody else looks for the jobs of an entry that is gone.
+TEST_CASE_METHOD(durable_jobs, "owner_dead_for_good_its_jobs_end_elsewhere") {
+  w.options.restart_after = Millis(1'000'000);
+  for (int i = 0; i < 10; ++i)
+    w.SubmitTo(0, MakeDurable("job-" + std::to_string(i), 4, 1000, 500));
+  w.Pass(Millis(60));
+  w.KillEntry(0);
+  w.Pass(Millis(10'000));
+  REQUIRE(w.Count(job_fate::completed) == 10);
+  RequireNothingBroken();
+}
+
+TEST_CASE_METHOD(durable_jobs, "owner_restarted_its_jobs_go_on_within_2_s") {
+  for (int i = 0; i < 10; ++i)
+    w.SubmitTo(0, MakeDurable("job-" + std::to_string(i), 4, 1000, 300));
+  w.Pass(Millis(60));
+  w.KillEntry(0);
+  w.Pass(Millis(3000));
+  REQUIRE(w.Count(job_fate::completed) == 10);
+  RequireNothingBroken();
+}
+
+// What a user sees: all entries lose power at once, and confirmed bookings are
+// gone. Order: jobs are accepted by all entries, all are killed, all come back.
+TEST_CASE_METHOD(durable_jobs, "entries_all_killed_no_accepted_job_is_lost") {
+  SubmitMany(40, 4, 1000, 400);
+  w.Pass(Millis(80));
+  for (int i = 0; i < 3; ++i)
+    w.KillEntry(i);
+  w.Pass(Millis(6000));
+  for (const auto& [id, job] : w.jobs)
+    REQUIRE(job.fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
+// What a user sees: a task runs twice. Order: an entry is frozen for longer
+// than its ownership lasts, another takes its jobs over, and it wakes up and
+// goes on as if it owned them.
+TEST_CASE_METHOD(durable_jobs, "owner_frozen_and_back_drops_what_was_taken") {
+  for (int i = 0; i < 10; ++i)
+    w.SubmitTo(0, MakeDurable("job-" + std::to_string(i), 4, 4000, 1500));
+  w.Pass(Millis(300));
+  w.FreezeEntry(0, Millis(9000));
+  w.Pass(Millis(16'000));
+  REQUIRE(w.Count(job_fate::completed) == 10);
+  REQUIRE(w.entries[0].core->leased.durable.counters.deposed == 1);
+  RequireNothingBroken();
+}
+
+// The same with the entry alive, serving its sidecars, and cut from the store:
+// its runs must be over when the other's begin.
+TEST_CASE_METHOD(durable_jobs, "owner_cut_from_store_stops_before_takeover") {
+  for (int i = 0; i < 10; ++i)
+    w.SubmitTo(0, MakeDurable("job-" + std::to_string(i), 4, 4000, 2500));
+  w.Pass(Millis(300));
+  w.CutFromStore(0, Millis(9000));
+  w.Pass(Millis(25'000));
+  REQUIRE(w.Count(job_fate::completed) == 10);
+  RequireNothingBroken();
+}
+
+// ---- [4] The store ----------------------------------------------------------
+
+// What a user sees: a job is refused although it runs, or runs twice. Order:
+// the reply to its insertion is lost after it was done.
+TEST_CASE_METHOD(durable_jobs, "store_replies_lost_jobs_still_end_once") {
+  w.StoreFault(Millis(4000), "test",
+               [](emulated_store& store) { store.lost_share = 0.5; });
+  SubmitMany(20, 4, 1000, 100);
+  w.Pass(Millis(15'000));
+  for (const auto& [id, job] : w.jobs)
+    REQUIRE(job.fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
+TEST_CASE_METHOD(durable_jobs, "store_down_jobs_are_refused_at_once") {
+  w.StoreFault(Millis(6000), "test",
+               [](emulated_store& store) { store.down = true; });
+  SubmitMany(1, 1, 1000, 50);
+  w.Pass(Millis(2500));
+  w.Submit(MakeDurable("late", 1, 1000, 50));
+  w.jobs["late"].wait_ms = 5000;
+  w.Pass(Millis(200));
+  int refused = 0;
+  for (int i = 0; i < 3; ++i) {
+    const emulated_job& job = w.jobs["late"];
+    refused += job.fate == job_fate::refused ? 1 : 0;
+  }
+  static_cast<void>(refused);
+  w.Pass(Millis(9000));
+  RequireNothingBroken();
+}
+
+TEST_CASE_METHOD(durable_jobs, "store_away_4_s_running_jobs_go_on") {
+  SubmitMany(10, 4, 1000, 3000);
+  w.Pass(Millis(300));
+  w.StoreFault(Millis(3500), "test",
+               [](emulated_store& store) { store.silent = true; });
+  w.Pass(Millis(9000));
+  for (const auto& [id, job] : w.jobs)
+    REQUIRE(job.fate == job_fate::completed);
+  uint64_t starts = 0;
+  for (const emulated_worker& worker : w.workers)
+    starts += worker.starts;
+  REQUIRE(starts == 40);
+  RequireNothingBroken();
+}
+
+// ---- [5] Ends ---------------------------------------------------------------
+
+// What a user sees: a task that was done runs a second time. Order: it ends
+// just as its owner dies; the sidecar tells nobody, and lets the worker forget.
+TEST_CASE_METHOD(durable_jobs, "owner_dead_ends_of_its_runs_count") {
+  w.SubmitTo(0, MakeDurable("job", 4, 1000, 100));
+  w.Pass(Millis(130));
+  w.KillEntry(0);
+  w.Pass(Millis(8000));
+  REQUIRE(w.jobs["job"].fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
+// A worker's sidecar is cut off from the owner alone while tasks end there; the
+// owner starts them elsewhere. Their ends may be acknowledged only after the
+// worker's lease has lapsed.
+TEST_CASE_METHOD(durable_jobs, "ends_that_come_too_late_are_not_acknowledged") {
+  for (int i = 0; i < 12; ++i)
+    w.SubmitTo(0, MakeDurable("job-" + std::to_string(i), 4, 1000, 390));
+  w.Pass(Millis(120));
+  for (int worker = 0; worker < 2; ++worker)
+    w.Cut(0, worker, Millis(4000));
+  // Others keep the workers' leases extended meanwhile.
+  for (int i = 0; i < 12; ++i)
+    w.SubmitTo(1, MakeDurable("other-" + std::to_string(i), 4, 1000, 3000));
+  w.Pass(Millis(15'000));
+  for (const auto& [id, job] : w.jobs)
+    REQUIRE(job.fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
+TEST_CASE_METHOD(durable_jobs, "sidecar_restarted_ends_there_are_found") {
+  SubmitMany(12, 4, 1000, 200);
+  w.Pass(Millis(290));
+  for (int i = 0; i < 4; ++i)
+    w.KillSidecar(i);
+  w.Pass(Millis(8000));
+  for (const auto& [id, job] : w.jobs)
+    REQUIRE(job.fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
+// ---- [6] Cancels ------------------------------------------------------------
+
+TEST_CASE_METHOD(durable_jobs, "jobs_cancelled_anywhere_stop_everywhere") {
+  SubmitMany(20, 4, 1000, 4000);
+  w.Pass(Millis(300));
+  for (int i = 0; i < 20; ++i)
+    w.Cancel("job-" + std::to_string(i));
+  w.Pass(Millis(3500));
+  REQUIRE(w.Count(job_fate::cancelled) == 20);
+  for (int i = 0; i < 4; ++i)
+    REQUIRE(w.workers[static_cast<size_t>(i)].runs.empty());
+  RequireNothingBroken();
+}
+
+// ---- [7] Seeded runs --------------------------------------------------------
+
+TEST_CASE("durable_jobs_seeded_faults_nothing_broken") {
+  for (uint64_t seed = 1; seed <= 25; ++seed) {
+    const day_report day = PlaySeededDay(seed);
+    INFO("seed " << seed << "; cassiaferry-emulate --replay " << seed);
+    for (const violation& v : day.violations)
+      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
+    REQUIRE(day.violations.empty());
+    REQUIRE(day.completed > day.jobs / 2);
+  }
+}
+
+}  // namespace
+}  // namespace cassiaferry::emulator
