--- a/src/core/leased_metrics.cc
+++ b/src/core/leased_metrics.cc
@@ -1,5 +1,7 @@
 // Leased jobs and their workers as Prometheus text.
 
+#include <utility>
+
 #include "cassiaferry/lease_keeper.h"
 #include "cassiaferry/leased_jobs.h"
 #include "cassiaferry/metrics.h"
@@ -20,6 +22,30 @@
                static_cast<double>(c.jobs_refused));
 }
 
+void AppendDurable(std::string& out, const durable_state& d) {
+  const durable_counters& c = d.counters;
+  const std::pair<const char*, uint64_t> counts[] = {{"accepted", c.accepted},
+                                                     {"taken_over", c.adopted}};
+  for (const auto& [what, count] : counts)
+    AppendMetric(out, "cassiaferry_durable_jobs_total",
+                 std::string("what=\"") + what + "\"",
+                 static_cast<double>(count));
+  AppendMetric(out, "cassiaferry_durable_jobs_open", "",
+               static_cast<double>(d.jobs));
+  AppendMetric(out, "cassiaferry_durable_owners_taken_over_total", "",
+               static_cast<double>(c.adoptions));
+  AppendMetric(out, "cassiaferry_durable_deposed_total", "",
+               static_cast<double>(c.deposed));
+  AppendMetric(out, "cassiaferry_durable_lapses_asked_total", "",
+               static_cast<double>(c.lapses_asked));
+  AppendMetric(out, "cassiaferry_store_calls_total", "kind=\"transaction\"",
+               static_cast<double>(d.journal.transactions));
+  AppendMetric(out, "cassiaferry_store_calls_total", "kind=\"read\"",
+               static_cast<double>(c.reads));
+  AppendMetric(out, "cassiaferry_store_failures", "",
+               static_cast<double>(d.journal.failures));
+}
+
 void AppendEnds(std::string& out,
                 const std::string& name,
                 const uint64_t (&ends)[kRunEndKinds]) {
@@ -40,6 +66,8 @@
   AppendMetric(out, "cassiaferry_leased_runs_ordered_total", "",
                static_cast<double>(s.counters.runs_ordered));
   AppendEnds(out, "cassiaferry_leased_runs_ended_total", s.counters.runs_ended);
+  if (s.durable.options.enabled)
+    AppendDurable(out, s.durable);
   AppendMetric(out, "cassiaferry_leased_jobs_open", "",
                static_cast<double>(s.jobs.size()));
   AppendMetric(out, "cassiaferry_leased_jobs_waiting", "",
@@ -65,6 +93,8 @@
   AppendMetric(out, "cassiaferry_worker_runs", "",
                static_cast<double>(k.runs.size()));
   AppendMetric(out, "cassiaferry_worker_pace", "", k.pace);
+  AppendMetric(out, "cassiaferry_worker_ends_held", "",
+               static_cast<double>(k.held.size()));
   AppendMetric(out, "cassiaferry_worker_looks_total", "",
                static_cast<double>(k.looks_sent));
   AppendMetric(out, "cassiaferry_worker_calls_unanswered_total", "",
