Docs of durable jobs; test of a run given up without another end

The guard that a run stored as given up does not count was not caught when it was taken out: in the test the run that replaced it ended well and was found first. Its worker now crashes.

--- a/tests/durable_unit_test.cc
+++ b/tests/durable_unit_test.cc
@@ -363,8 +363,9 @@
   for (int i = 0; i < 100 && WorkerOf("job") == -1; ++i)
     w.Pass(Millis(20));
   REQUIRE(WorkerOf("job") >= 0);
+  w.CrashWorker(WorkerOf("job"), Millis(30'000));
   w.KillEntry(0);
-  w.Pass(Millis(25'000));
+  w.Pass(Millis(40'000));
   REQUIRE(w.jobs["job"].fate == job_fate::completed);
   REQUIRE(HeldEnds() == 0);
   RequireNothingBroken();
