--- a/src/core/durable_adoption.cc
+++ b/src/core/durable_adoption.cc
@@ -117,7 +117,7 @@
   job.durable.version = adopted.version;
   job.durable.has_progress = true;
   job.durable.start_from = now + OverAfter(l.options.bounds);
-  MakeTasks(job, job.durable.epoch << kEpochShift);
+  MakeTasks(job, FirstRun(job.durable.epoch));
   ReadProgressRow(adopted.progress, job);
   SetBounds(job, now, micros{0}, l.estimates[job.queue.name].ratio);
   ++l.durable.jobs;
--- /dev/null
+++ b/src/core/durable_callers.cc
@@ -0,0 +1,242 @@
+// What callers ask of durable jobs: their state, and to cancel them.
+//
+// Contents
+//   [1] Answers
+//   [2] Questions
+//   [3] Jobs of other entries
+
+#include "cassiaferry/durable_jobs.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "durable_rows.h"
+#include "durable_systems.h"
+#include "entry_systems.h"
+#include "leased_systems.h"
+
+namespace cassiaferry {
+
+// ---- [1] Answers ------------------------------------------------------------
+
+leased_job_state StateOf(leased_outcome outcome) {
+  switch (outcome) {
+    case leased_outcome::completed:
+      return leased_job_state::completed;
+    case leased_outcome::failed:
+      return leased_job_state::failed;
+    case leased_outcome::cancelled:
+      return leased_job_state::cancelled;
+    case leased_outcome::refused:
+    case leased_outcome::accepted:
+      break;
+  }
+  return leased_job_state::unknown;
+}
+
+namespace {
+
+leased_job_state StateOf(const leased_job& job) {
+  return job.started ? leased_job_state::running : leased_job_state::queued;
+}
+
+bool MayEndSoon(const leased_job& job) {
+  return job.durable.stage == durable_stage::ending ||
+         (job.durable.stage == durable_stage::stored &&
+          job.placed + job.done == job.tasks.size());
+}
+
+}  // namespace
+
+void AnswerAskers(entry_state& s,
+                  leased_job& job,
+                  leased_job_state state,
+                  bool unavailable) {
+  for (ticket_id ticket : job.durable.askers)
+    s.actions.push_back(answer_leased_state{ticket, state, unavailable});
+  job.durable.askers.clear();
+}
+
+void AnswerOldQuestions(entry_state& s, micros now) {
+  std::deque<open_question>& questions = s.leased.durable.questions;
+  while (!questions.empty() && questions.front().until <= now) {
+    leased_job* job = FindLeasedJob(s.leased, questions.front().id);
+    if (job != nullptr &&
+        std::erase(job->durable.askers, questions.front().ticket) != 0)
+      s.actions.push_back(
+          answer_leased_state{questions.front().ticket, StateOf(*job), false});
+    questions.pop_front();
+  }
+}
+
+void AnswerCancels(entry_state& s, leased_job& job, bool known) {
+  for (ticket_id ticket : job.durable.cancels)
+    s.actions.push_back(answer_cancelled{ticket, known, false});
+  job.durable.cancels.clear();
+}
+
+// ---- [2] Questions ----------------------------------------------------------
+
+void LookUpJob(entry_state& s,
+               ticket_id ticket,
+               const std::string& id,
+               bool cancels) {
+  ReadRows(s, {kEndedTable, id, 1, false},
+           {read_purpose::find_ended, id, ticket, cancels});
+}
+
+void LookUpStranger(entry_state& s, micros now, const std::string& id) {
+  constexpr micros kAskAgain = Millis(1000);
+  stranger& row = s.leased.durable.strangers[id];
+  if (now < row.ask_again)
+    return;
+  row.ask_again = now + kAskAgain;
+  ReadRows(s, {kJobsTable, id, 1, false},
+           {read_purpose::find_stray, id, {}, false});
+}
+
+void TellLeasedState(entry_state& s,
+                     micros now,
+                     ticket_id ticket,
+                     const std::string& id) {
+  durable_state& d = s.leased.durable;
+  leased_job* job = FindLeasedJob(s.leased, id);
+  const auto ended = d.ended.find(id);
+  if (job != nullptr && MayEndSoon(*job)) {
+    job->durable.askers.push_back(ticket);
+    d.questions.push_back({now + d.options.answer_within, ticket, id});
+  } else if (job != nullptr && job->durable.stage != durable_stage::accepting) {
+    s.actions.push_back(answer_leased_state{ticket, StateOf(*job), false});
+  } else if (ended != d.ended.end()) {
+    s.actions.push_back(
+        answer_leased_state{ticket, StateOf(ended->second.outcome), false});
+  } else if (d.options.enabled) {
+    LookUpJob(s, ticket, id, false);
+  } else {
+    s.actions.push_back(
+        answer_leased_state{ticket, leased_job_state::unknown, false});
+  }
+}
+
+void CancelLeasedJob(entry_state& s,
+                     micros now,
+                     ticket_id ticket,
+                     const std::string& id) {
+  durable_state& d = s.leased.durable;
+  leased_job* job = FindLeasedJob(s.leased, id);
+  if (job != nullptr && !IsDurable(*job)) {
+    Conclude(s, now, *job, leased_outcome::cancelled,
+             {verdict::may_have_run, reason::cancelled, "cancelled", 0});
+    s.actions.push_back(answer_cancelled{ticket, true, false});
+  } else if (job != nullptr) {
+    job->durable.cancels.push_back(ticket);
+    if (job->durable.stage == durable_stage::stored)
+      EndDurableJob(s, *job, leased_outcome::cancelled);
+  } else if (d.ended.count(id) != 0 || !d.options.enabled) {
+    s.actions.push_back(answer_cancelled{ticket, false, false});
+  } else {
+    LookUpJob(s, ticket, id, true);
+  }
+}
+
+// ---- [3] Jobs of other entries ----------------------------------------------
+
+namespace {
+
+void AnswerLookUp(entry_state& s,
+                  const open_read& read,
+                  leased_job_state state,
+                  bool unavailable) {
+  if (read.cancels)
+    s.actions.push_back(answer_cancelled{read.ticket, false, unavailable});
+  else
+    s.actions.push_back(answer_leased_state{read.ticket, state, unavailable});
+}
+
+// A job that another entry owns is cancelled by taking its row away: whatever
+// that entry still writes for it fails, and it learns of it by the row beside.
+void CancelElsewhere(entry_state& s,
+                     micros now,
+                     const open_read& read,
+                     const stored_row& row) {
+  durable_state& d = s.leased.durable;
+  row_transaction rows;
+  rows.expected = {{{kJobsTable, read.id}, row.version}};
+  rows.removes = {{kJobsTable, read.id}, {kProgressTable, read.id}};
+  const uint32_t epoch = EpochOf(row.value);
+  rows.sets = {{kEndedTable, read.id,
+                EndedRow({leased_outcome::cancelled, epoch}, d.life,
+                         OwnerOf(row.value))},
+               {kOwnersTable, kCancelPrefix + read.id, "{}"}};
+  WriteRows(d, std::move(rows),
+            {write_purpose::cancel_elsewhere, read.id, read.ticket});
+  d.needed_until = std::max(d.needed_until, now + d.options.keep_cancel);
+}
+
+const stored_row* RowOf(const rows_reply& reply, const std::string& id) {
+  for (const stored_row& row : reply.rows) {
+    if (row.key == id)
+      return &row;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+void TakeLookUp(entry_state& s,
+                micros now,
+                open_read read,
+                const rows_reply& reply) {
+  if (reply.status != store_status::ok) {
+    AnswerLookUp(s, read, leased_job_state::unknown, true);
+    return;
+  }
+  const stored_row* row = RowOf(reply, read.id);
+  if (read.purpose == read_purpose::find_live) {
+    if (row != nullptr && read.cancels)
+      CancelElsewhere(s, now, read, *row);
+    else if (row != nullptr)
+      AnswerLookUp(s, read, leased_job_state::queued, false);
+    else
+      ReadRows(
+          s, {kEndedTable, read.id, 1, false},
+          {read_purpose::find_ended_again, read.id, read.ticket, read.cancels});
+    return;
+  }
+  const auto ended = row == nullptr ? std::nullopt : ReadEndedRow(row->value);
+  if (ended)
+    AnswerLookUp(s, read, StateOf(ended->outcome), false);
+  else if (read.purpose == read_purpose::find_ended)
+    ReadRows(s, {kJobsTable, read.id, 1, false},
+             {read_purpose::find_live, read.id, read.ticket, read.cancels});
+  else
+    AnswerLookUp(s, read, leased_job_state::unknown, false);
+}
+
+// Ends of a job that lives are its owner's to settle, and so are those of one
+// that has ended, as only its owner knows which runs it counted. If that one is
+// gone too, a lapse is always safe. A job without any row needs nothing.
+void TakeStranger(entry_state& s,
+                  const open_read& read,
+                  const rows_reply& reply) {
+  durable_state& d = s.leased.durable;
+  const auto stranger = d.strangers.find(read.id);
+  if (reply.status != store_status::ok || stranger == d.strangers.end())
+    return;
+  const stored_row* row = RowOf(reply, read.id);
+  if (read.purpose == read_purpose::find_stray) {
+    if (row == nullptr)
+      ReadRows(s, {kEndedTable, read.id, 1, false},
+               {read_purpose::find_stray_ended, read.id, {}, false});
+    return;
+  }
+  const std::string owner = row == nullptr ? "" : OwnerOf(row->value);
+  const bool lives =
+      owner != d.life && d.peers.count(kEntryPrefix + owner) != 0;
+  if (row == nullptr)
+    stranger->second.fate = end_fate::forget;
+  else if (!lives)
+    stranger->second.fate = end_fate::lapse;
+}
+
+}  // namespace cassiaferry
--- /dev/null
+++ b/src/core/durable_ends.cc
@@ -0,0 +1,229 @@
+// Ends of durable runs: settled with sidecars, and found without an open run.
+//
+// Contents
+//   [1] Settling
+//   [2] Judging an end that was found
+//   [3] Taking it
+
+#include "cassiaferry/durable_jobs.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "durable_rows.h"
+#include "durable_systems.h"
+#include "entry_systems.h"
+#include "leased_systems.h"
+
+namespace cassiaferry {
+
+// ---- [1] Settling -----------------------------------------------------------
+
+// Failure guarded against: the word that an end must not be acknowledged yet is
+// lost with its stream, and the next acknowledgement covers the end. Until the
+// sidecar has confirmed the word the end counts as unsaved, and the word is
+// sent again on each stream.
+void SettleEnd(entry_state& s, const unsaved_end& end, end_fate fate) {
+  leased_worker& w = s.leased.workers[end.worker.value];
+  if (w.sidecar_life != end.life)
+    return;  // whoever finds it there offers it again
+  if (end.number != 0 && fate == end_fate::forget) {
+    w.unsaved.erase(end.number);
+    return;
+  }
+  if (end.number != 0)
+    w.unsaved.insert(end.number);
+  w.settling.push_back({++w.settled_sent, end.number, {end.ref, fate}});
+  if (s.workers[end.worker.value].state != worker_link::down)
+    OrdersFor(s, end.worker).settled.push_back({end.ref, fate});
+}
+
+void SettleEnds(entry_state& s, std::vector<unsaved_end>& ends, end_fate fate) {
+  for (const unsaved_end& end : ends)
+    SettleEnd(s, end, fate);
+  ends.clear();
+}
+
+// ---- [2] Judging an end that was found --------------------------------------
+
+namespace {
+
+enum class stray_kind : uint8_t {
+  counts,          // its task has not started again: it stands
+  failure_counts,  // ... it has, but the failed run counts against its attempts
+  settled,         // nothing follows from it
+  too_late,        // its task has started again, which it would have forbidden
+  unknown,         // of no job known here
+};
+
+bool IsFirstOfEpoch(const leased_job& job, const leased_task_row& row) {
+  return row.run == FirstRun(job.durable.epoch);
+}
+
+stray_kind JudgeLiveTask(const leased_job& job,
+                         const leased_task_row& row,
+                         const run_end& end) {
+  const bool newest = end.ref.run == row.run;
+  const bool is_over = row.state == leased_task_state::done ||
+                       job.durable.stage == durable_stage::ending;
+  if (is_over && newest)
+    return stray_kind::settled;
+  const bool waits = !is_over && row.state != leased_task_state::placed;
+  const bool of_owner_before = IsFirstOfEpoch(job, row) &&
+                               end.ref.run < row.run &&
+                               end.ref.run > row.given_up;
+  if (waits && (newest || of_owner_before))
+    return stray_kind::counts;
+  // It has started again since. Had this failure been the last one allowed, it
+  // must not have.
+  const bool harmless = end.how == run_end_kind::failed &&
+                        job.durable.stage != durable_stage::ending &&
+                        row.failed + 1 < job.queue.max_attempts;
+  return harmless ? stray_kind::failure_counts : stray_kind::too_late;
+}
+
+stray_kind JudgeStranger(const durable_state& d, const run_end& end) {
+  const auto stranger = d.strangers.find(end.ref.task.job);
+  if (stranger == d.strangers.end() || !stranger->second.fate)
+    return stray_kind::unknown;
+  return *stranger->second.fate == end_fate::lapse ? stray_kind::too_late
+                                                   : stray_kind::settled;
+}
+
+stray_kind JudgeEndedJob(const durable_state& d, const run_end& end) {
+  const auto ended = d.ended.find(end.ref.task.job);
+  const bool older =
+      ended != d.ended.end() &&
+      (ended->second.inherited || end.ref.run < FirstRun(ended->second.epoch));
+  if (ended != d.ended.end() && ended->second.elsewhere)
+    return JudgeStranger(d, end);
+  if (older || d.disowned.count(end.ref) != 0)
+    return stray_kind::too_late;
+  if (ended != d.ended.end())
+    return stray_kind::settled;
+  return JudgeStranger(d, end);
+}
+
+stray_kind JudgeStray(entry_state& s, const run_end& end) {
+  leased_job* job = FindLeasedJob(s.leased, end.ref.task.job);
+  if (job == nullptr || job->durable.stage == durable_stage::accepting)
+    return JudgeEndedJob(s.leased.durable, end);
+  if (!IsDurable(*job))
+    return stray_kind::settled;
+  leased_task_row* row = FindTask(*job, end.ref.task);
+  return row == nullptr ? stray_kind::settled : JudgeLiveTask(*job, *row, end);
+}
+
+// ---- [3] Taking it ----------------------------------------------------------
+
+void TakeStanding(entry_state& s,
+                  micros now,
+                  worker_id id,
+                  const run_end& end) {
+  leased_job& job = *FindLeasedJob(s.leased, end.ref.task.job);
+  leased_task_row& row = *FindTask(job, end.ref.task);
+  LogJob(s, "run ended, found", job,
+         std::string(ToText(end.how)) + ", run " + std::to_string(end.ref.run) +
+             ", worker " + s.workers[id.value].name);
+  AddUnsavedEnd(s, job, id, end);
+  if (end.how == run_end_kind::failed) {
+    CountFailedRun(s, now, job, row);
+    return;
+  }
+  std::erase(job.waiting, static_cast<uint32_t>(&row - job.tasks.data()));
+  if (job.waiting.empty())
+    Dequeue(s.leased, job);
+  FinishLeasedTask(s, now, job, row);
+}
+
+void SettleStray(entry_state& s,
+                 worker_id id,
+                 const run_end& end,
+                 end_fate fate) {
+  if (fate == end_fate::lapse) {
+    ++s.leased.durable.counters.lapses_asked;
+    s.actions.push_back(leased_decision{
+        "end came too late", end.ref.task.job,
+        std::string(ToText(end.how)) + ", run " + std::to_string(end.ref.run) +
+            ", given up before; its worker's lease must lapse, worker " +
+            s.workers[id.value].name});
+  }
+  SettleEnd(s,
+            {id, s.leased.workers[id.value].sidecar_life, end.number, end.ref},
+            fate);
+}
+
+}  // namespace
+
+// Failure guarded against: the next owner of the job finds the end of a run
+// that this one gave up and replaced, and takes it for the newest. That it was
+// given up is stored before its task starts again.
+void DisownRun(entry_state& s,
+               micros now,
+               leased_job& job,
+               const run_ref& ref) {
+  if (!IsDurable(job))
+    return;
+  s.leased.durable.disowned.emplace(ref, now);
+  if (leased_task_row* row = FindTask(job, ref.task))
+    row->given_up = std::max(row->given_up, ref.run);
+  job.durable.must_save = true;
+  MarkUnsaved(s, job);
+}
+
+// Failure guarded against: a run that this entry gave up as lost, and whose
+// task it started elsewhere, had ended before its worker was cut off. If its
+// end were acknowledged the task would count as done twice, or as failed too
+// often. It may be forgotten only after the worker's lease has lapsed.
+void TakeStrayEnd(entry_state& s,
+                  micros now,
+                  worker_id id,
+                  const run_end& end) {
+  const bool counts =
+      end.how == run_end_kind::done || end.how == run_end_kind::failed;
+  if (!counts || !s.leased.durable.options.enabled)
+    return;
+  switch (JudgeStray(s, end)) {
+    case stray_kind::counts:
+      TakeStanding(s, now, id, end);
+      return;
+    case stray_kind::failure_counts: {
+      leased_job& job = *FindLeasedJob(s.leased, end.ref.task.job);
+      AddUnsavedEnd(s, job, id, end);
+      CountFailedRun(s, now, job, *FindTask(job, end.ref.task));
+      return;
+    }
+    case stray_kind::too_late:
+      SettleStray(s, id, end, end_fate::lapse);
+      return;
+    case stray_kind::settled:
+      if (end.number == 0)
+        SettleStray(s, id, end, end_fate::forget);
+      return;
+    case stray_kind::unknown:
+      if (end.number == 0)
+        LookUpStranger(s, now, end.ref.task.job);
+      return;
+  }
+}
+
+void TakeUnclaimedEnds(entry_state& s,
+                       micros now,
+                       worker_id id,
+                       const lease_reports& reports) {
+  for (run_end end : reports.unclaimed) {
+    end.number = 0;
+    // One that this entry has taken, and is storing, is settled when it is.
+    leased_job* job = FindLeasedJob(s.leased, end.ref.task.job);
+    const auto is_it = [&](const unsaved_end& u) { return u.ref == end.ref; };
+    if (job != nullptr &&
+        std::any_of(job->durable.ends.begin(), job->durable.ends.end(), is_it))
+      continue;
+    if (job != nullptr && std::any_of(job->durable.saving.begin(),
+                                      job->durable.saving.end(), is_it))
+      continue;
+    TakeEnd(s, now, id, end);
+  }
+}
+
+}  // namespace cassiaferry
--- a/src/core/durable_systems.h
+++ b/src/core/durable_systems.h
@@ -1,9 +1,17 @@
 // What the files of durable jobs share. Private to src/core.
+//
+// Contents
+//   [1] Writes and reads
+//   [2] Ends
+//   [3] Callers
+//   [4] Ownership
+//   [5] Taking over
 
 #ifndef CASSIAFERRY_SRC_CORE_DURABLE_SYSTEMS_H_
 #define CASSIAFERRY_SRC_CORE_DURABLE_SYSTEMS_H_
 
 #include <string>
+#include <vector>
 
 #include "cassiaferry/entry.h"
 
@@ -13,7 +21,17 @@
 // attempts of a task, with the steps over numbers that were refused.
 constexpr uint32_t kEpochShift = 12;
 
-// ---- durable_jobs.cc
+// Run numbers of a task rise over all its owners without a write for each: the
+// owner's epoch is their high part.
+constexpr uint32_t FirstRun(uint32_t epoch) {
+  return epoch << kEpochShift;
+}
+
+inline bool IsDurable(const leased_job& job) {
+  return job.durable.stage != durable_stage::none;
+}
+
+// ---- [1] Writes and reads (durable_jobs.cc) ---------------------------------
 
 journal_op_id WriteRows(durable_state& d,
                         row_transaction rows,
@@ -24,17 +42,50 @@
                    micros now,
                    const std::string& id,
                    const ended_job& ended);
+void EraseDurableJob(entry_state& s, leased_job& job);
+// The job's row is not as this entry left it, though nobody has taken its
+// place: a caller has cancelled the job through another entry.
+void CancelledElsewhere(entry_state& s, micros now, leased_job& job);
+// Another entry's word that it has cancelled the job.
+void TakeCancelRow(entry_state& s, micros now, const std::string& id);
+
+// ---- [2] Ends (durable_ends.cc) ---------------------------------------------
+
+void SettleEnds(entry_state& s, std::vector<unsaved_end>& ends, end_fate fate);
+
+// ---- [3] Callers (durable_callers.cc) ---------------------------------------
+
+leased_job_state StateOf(leased_outcome outcome);
+void AnswerAskers(entry_state& s,
+                  leased_job& job,
+                  leased_job_state state,
+                  bool unavailable);
+void AnswerOldQuestions(entry_state& s, micros now);
+void AnswerCancels(entry_state& s, leased_job& job, bool known);
 // Answers the caller with what the store says of the job, or cancels it.
 void LookUpJob(entry_state& s,
                ticket_id ticket,
                const std::string& id,
                bool cancels);
+void TakeLookUp(entry_state& s,
+                micros now,
+                open_read read,
+                const rows_reply& reply);
 // Runs of a job unknown here were found on a worker: does it live?
 void LookUpStranger(entry_state& s, micros now, const std::string& id);
-// Another entry has cancelled the job.
-void TakeCancelRow(entry_state& s, micros now, const std::string& id);
+void TakeStranger(entry_state& s,
+                  const open_read& read,
+                  const rows_reply& reply);
+
+// ---- [4] Ownership (durable_ownership.cc) -----------------------------------
+
+void Depose(entry_state& s);
+void CheckOwnership(entry_state& s, micros now);
+void ReleaseJobs(entry_state& s, micros now);
+void KeepOwnRow(entry_state& s, micros now);
+void TellFacts(entry_state& s, micros now);
 
-// ---- durable_adoption.cc
+// ---- [5] Taking over (durable_adoption.cc) ----------------------------------
 
 void TakeOwners(entry_state& s, micros now, const rows_reply& reply);
 void TakeAdoptionPage(entry_state& s, micros now, const rows_reply& reply);
