--- a/src/core/durable_ends.cc
+++ b/src/core/durable_ends.cc
@@ -19,6 +19,8 @@
 
 // ---- [1] Settling -----------------------------------------------------------
 
+namespace {
+
 // Failure guarded against: the word that an end must not be acknowledged yet is
 // lost with its stream, and the next acknowledgement covers the end. Until the
 // sidecar has confirmed the word the end counts as unsaved, and the word is
@@ -38,6 +40,8 @@
     OrdersFor(s, end.worker).settled.push_back({end.ref, fate});
 }
 
+}  // namespace
+
 void SettleEnds(entry_state& s, std::vector<unsaved_end>& ends, end_fate fate) {
   for (const unsaved_end& end : ends)
     SettleEnd(s, end, fate);
--- /dev/null
+++ b/src/core/keeper_systems.h
@@ -0,0 +1,64 @@
+// What the files of the lease keeper share. Private to src/core.
+//
+// Contents
+//   [1] Keeper
+//   [2] Ends
+//   [3] Pace
+
+#ifndef CASSIAFERRY_SRC_CORE_KEEPER_SYSTEMS_H_
+#define CASSIAFERRY_SRC_CORE_KEEPER_SYSTEMS_H_
+
+#include <string>
+#include <vector>
+
+#include "cassiaferry/lease_keeper.h"
+
+namespace cassiaferry {
+
+// ---- [1] Keeper (lease_keeper.cc) -------------------------------------------
+
+void Note(keeper_state& k, const char* what, std::string detail);
+bool Vouched(const keeper_state& k, micros now, incarnation owner);
+
+// ---- [2] Ends (keeper_ends.cc) ----------------------------------------------
+
+void TellEnd(keeper_state& k,
+             incarnation owner_name,
+             const run_ref& ref,
+             run_end_kind how,
+             uint32_t run_ms,
+             uint64_t listed = 0);
+void HoldEnd(keeper_state& k,
+             micros now,
+             incarnation owner,
+             const listed_end& end,
+             uint32_t run_ms);
+// Ends up to this number may be forgotten by the worker.
+uint64_t AckedEnds(const keeper_state& k);
+// `listed`: the worker's number of the end; 0: it listed none.
+void EndRun(keeper_state& k,
+            micros now,
+            const leased_task& task,
+            run_end_kind how,
+            uint64_t listed = 0);
+void EndAll(keeper_state& k, micros now, run_end_kind how);
+bool HasEnd(const run_owner& owner, const run_ref& ref);
+void AckEnds(keeper_state& k, run_owner& owner, uint64_t through);
+void SettleHeld(keeper_state& k,
+                micros now,
+                incarnation by,
+                const settled_end& settled);
+void CheckLapse(keeper_state& k, micros now);
+std::vector<run_end> UnclaimedEnds(const keeper_state& k, micros now);
+
+// ---- [3] Pace (keeper_pace.cc) ----------------------------------------------
+
+void AddProgress(keeper_state& k, micros now, kept_run& run, uint32_t percent);
+void MeasurePace(keeper_state& k, micros now);
+// A slow worker that gets nothing would be slow for ever.
+void FadePace(keeper_state& k, micros now);
+void FindStragglers(keeper_state& k, micros now);
+
+}  // namespace cassiaferry
+
+#endif  // CASSIAFERRY_SRC_CORE_KEEPER_SYSTEMS_H_
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -2,21 +2,20 @@
 //
 // Contents
 //   [1] Bounds and names
-//   [2] Ends
-//   [3] Pace
-//   [4] Calls to the worker
-//   [5] The worker's lives
-//   [6] Orders
-//   [7] Answers
-//   [8] Tick
-//   [9] Reports
+//   [2] Calls to the worker
+//   [3] The worker's lives
+//   [4] Orders
+//   [5] Answers
+//   [6] Tick
+//   [7] Reports
 
 #include "cassiaferry/lease_keeper.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
+#include "keeper_systems.h"
+
 namespace cassiaferry {
 
 // ---- [1] Bounds and names ---------------------------------------------------
@@ -36,164 +35,20 @@
   return bounds;
 }
 
-namespace {
-
-constexpr size_t kMaxPastLives = 1000;
-
-// ---- [2] Ends ---------------------------------------------------------------
-
-void TellEnd(keeper_state& k,
-             incarnation owner_name,
-             const run_ref& ref,
-             run_end_kind how,
-             uint32_t run_ms,
-             uint64_t listed = 0) {
-  const auto it = k.owners.find(owner_name);
-  if (it == k.owners.end())
-    return;
-  run_owner& owner = it->second;
-  ++k.runs_ended[static_cast<size_t>(how)];
-  owner.ends.push_back({{owner.next_end++, ref, how, run_ms}, listed});
-  owner.due = true;
-}
-
-// Failure guarded against: a worker that has been told that an end is known
-// forgets it; if its job's owner dies before it has stored the end, the next
-// owner runs the task again. So the end is acknowledged after it is stored.
-void HoldEnd(keeper_state& k,
-             micros now,
-             incarnation owner,
-             const listed_end& end,
-             uint32_t run_ms) {
-  const bool counts =
-      end.how == run_end_kind::done || end.how == run_end_kind::failed;
-  if (!counts)
-    return;
-  const bool claimed = k.owners.count(owner) != 0;
-  k.held[end.number] = {
-      {0, end.ref, end.how, run_ms}, owner, now, claimed, false};
-}
-
-// Ends up to this number may be forgotten by the worker.
-uint64_t AckedEnds(const keeper_state& k) {
-  return k.held.empty() ? k.seen : k.held.begin()->first - 1;
-}
-
-// `listed`: the worker's number of the end; 0: it listed none.
-void EndRun(keeper_state& k,
-            micros now,
-            const leased_task& task,
-            run_end_kind how,
-            uint64_t listed = 0) {
-  const auto it = k.runs.find(task);
-  const kept_run run = std::move(it->second);
-  k.runs.erase(it);
-  k.used = k.used - run.start.need;
-  const auto run_ms = static_cast<uint32_t>(ToMillis(now - run.since));
-  if (run.start.durable && listed != 0)
-    HoldEnd(k, now, run.owner, {listed, run.start.ref, how}, run_ms);
-  TellEnd(k, run.owner, run.start.ref, how, run_ms,
-          k.held.count(listed) != 0 ? listed : 0);
-}
-
-void EndAll(keeper_state& k, micros now, run_end_kind how) {
-  while (!k.runs.empty())
-    EndRun(k, now, leased_task(k.runs.begin()->first), how);
-}
-
-// ---- [3] Pace ---------------------------------------------------------------
-
-// Run time that a sample of the pace covers, over all runs together: ten runs
-// side by side give one in 20 ms, a single one in 200 ms.
-constexpr micros kPaceSample = Millis(200);
-constexpr double kPaceKeep = 0.6;
-constexpr double kPaceChange = 0.2;  // told at once
-// Unmeasured for this long, the pace is taken to be half way back to normal.
-constexpr micros kPaceFade = Millis(500);
-
 void Note(keeper_state& k, const char* what, std::string detail) {
   k.actions.push_back(keeper_note{what, std::move(detail)});
 }
 
-void TellPace(keeper_state& k) {
-  if (std::abs(k.pace - k.pace_told) < kPaceChange)
-    return;
-  Note(k, "pace changed", std::to_string(k.pace));
-  k.pace_told = k.pace;
-  for (auto& [name, owner] : k.owners)
-    owner.due = true;
-}
-
-// Takes in what a run has done since it was last measured.
-void AddProgress(keeper_state& k, micros now, kept_run& run, uint32_t percent) {
-  const micros from = run.measured_at.value == 0 ? run.since : run.measured_at;
-  // Workers report whole percents. Until twice the time of one has passed,
-  // nothing done says nothing: a task of 14 s at a look every 50 ms would pass
-  // for one at a third of its pace, and be moved.
-  const micros of_two_percent = Millis(run.start.expected_ms / 50);
-  if (percent <= run.percent && now - from < of_two_percent)
-    return;
-  const uint32_t done = percent > run.percent ? percent - run.percent : 0;
-  k.pace_work += done * run.start.expected_ms / 100.0;
-  k.pace_time = k.pace_time + (now - from);
-  run.percent = std::max(run.percent, percent);
-  run.measured_at = now;
-}
-
-// Failure guarded against: a worker that has turned slow, or on which all
-// stands still, looks free and healthy: it announces itself and takes every
-// start. It shows in how far its runs come, well before any of them ends.
-void MeasurePace(keeper_state& k, micros now) {
-  if (k.pace_time < kPaceSample)
-    return;
-  const double sample =
-      k.pace_work * 1000 / static_cast<double>(k.pace_time.value);
-  k.pace = k.pace * kPaceKeep + std::min(3.0, sample) * (1 - kPaceKeep);
-  k.pace_work = 0;
-  k.pace_time = {};
-  k.pace_at = now;
-  TellPace(k);
-}
-
-// A slow worker that gets nothing would be slow for ever.
-void FadePace(keeper_state& k, micros now) {
-  if (!k.runs.empty() || now - k.pace_at < kPaceFade)
-    return;
-  k.pace = (k.pace + 1) / 2;
-  k.pace_at = now;
-  TellPace(k);
+bool Vouched(const keeper_state& k, micros now, incarnation owner) {
+  const auto it = k.owners.find(owner);
+  return it != k.owners.end() && now <= it->second.vouched_until;
 }
 
-// At the worker's pace, what is left takes longer than all of it should.
-bool IsStraggler(const keeper_options& o,
-                 const keeper_state& k,
-                 const kept_run& run,
-                 micros age) {
-  if (age < o.straggler_least)
-    return false;
-  const double left = (100.0 - run.percent) / 100 / std::max(0.01, k.pace);
-  return left > o.straggler_times;
-}
+namespace {
 
-void FindStragglers(keeper_state& k, micros now) {
-  for (auto& [task, run] : k.runs) {
-    const micros age = now - run.since;
-    if (run.state != run_state::running ||
-        !IsStraggler(k.options, k, run, age) ||
-        (run.told_straggling.value != 0 &&
-         now - run.told_straggling < k.options.straggler_again))
-      continue;
-    run.told_straggling = now;
-    const auto owner = k.owners.find(run.owner);
-    if (owner == k.owners.end())
-      continue;
-    owner->second.stragglers.push_back(
-        {run.start.ref, static_cast<uint32_t>(ToMillis(age)), run.percent});
-    owner->second.due = true;
-  }
-}
+constexpr size_t kMaxPastLives = 1000;
 
-// ---- [4] Calls to the worker ------------------------------------------------
+// ---- [2] Calls to the worker ------------------------------------------------
 
 bool IsLossy(const keeper_state& k, micros now) {
   return k.last_loss.value != 0 && now - k.last_loss < k.options.lossy_for;
@@ -246,11 +101,6 @@
   CallStop(k, now, run.start.ref);
 }
 
-bool Vouched(const keeper_state& k, micros now, incarnation owner) {
-  const auto it = k.owners.find(owner);
-  return it != k.owners.end() && now <= it->second.vouched_until;
-}
-
 void CallLook(keeper_state& k, micros now) {
   k.looks_open = ++k.looks_sent;
   k.look_called = now;
@@ -271,7 +121,7 @@
   k.actions.emplace_back(std::move(look));
 }
 
-// ---- [5] The worker's lives -------------------------------------------------
+// ---- [3] The worker's lives -------------------------------------------------
 
 void Open(keeper_state& k) {
   if (k.opened)
@@ -355,7 +205,7 @@
   }
 }
 
-// ---- [6] Orders -------------------------------------------------------------
+// ---- [4] Orders -------------------------------------------------------------
 
 void TakeRunStart(keeper_state& k,
                   micros now,
@@ -406,11 +256,6 @@
     StopRun(k, now, it->second);
 }
 
-bool HasEnd(const run_owner& owner, const run_ref& ref) {
-  return std::any_of(owner.ends.begin(), owner.ends.end(),
-                     [&](const told_end& e) { return e.end.ref == ref; });
-}
-
 // A new stream of this owner: it names the runs that it ordered from this very
 // process and has heard no end of. What is here beyond those is stopped; what
 // it names and is not here never started, as its order went down with the older
@@ -445,74 +290,7 @@
   }
 }
 
-void AckEnds(keeper_state& k, run_owner& owner, uint64_t through) {
-  while (!owner.ends.empty() && owner.ends.front().end.number <= through) {
-    k.held.erase(owner.ends.front().listed);
-    owner.ends.pop_front();
-    if (owner.ends_told > 0)
-      --owner.ends_told;
-  }
-}
-
-// The end stands in no owner's list any more.
-void Unclaim(keeper_state& k, uint64_t listed) {
-  held_end& held = k.held[listed];
-  held.claimed = false;
-  const auto it = k.owners.find(held.owner);
-  if (it == k.owners.end())
-    return;
-  for (told_end& told : it->second.ends) {
-    if (told.listed == listed)
-      told.listed = 0;
-  }
-}
-
-void BeginLapse(keeper_state& k, micros now) {
-  if (k.lapsing_until.value != 0)
-    return;
-  k.lapsing_until = std::max(now, k.lease_over) + k.options.bounds.margin;
-  Note(k, "lease left to lapse",
-       "an end came too late, runs " + std::to_string(k.runs.size()));
-}
-
-void SettleHeld(keeper_state& k,
-                micros now,
-                incarnation by,
-                const settled_end& settled) {
-  constexpr const char* kFates[] = {"forgotten", "lease must lapse",
-                                    "offered to others"};
-  for (auto it = k.held.begin(); it != k.held.end(); ++it) {
-    if (it->second.end.ref != settled.ref)
-      continue;
-    Note(k, "held end settled",
-         settled.ref.task.job + "." + std::to_string(settled.ref.task.step) +
-             "." + std::to_string(settled.ref.task.index) + ", run " +
-             std::to_string(settled.ref.run) + ", " +
-             kFates[static_cast<size_t>(settled.fate)] + ", by " +
-             ToHex(by.value));
-    if (settled.fate == end_fate::forget) {
-      k.held.erase(it);
-      return;
-    }
-    Unclaim(k, it->first);
-    if (settled.fate == end_fate::lapse) {
-      it->second.lapse = true;
-      BeginLapse(k, now);
-    }
-    return;
-  }
-}
-
-// Every run there has ended with the lease: what was to be forgotten after that
-// is.
-void CheckLapse(keeper_state& k, micros now) {
-  if (k.lapsing_until.value == 0 || now < k.lapsing_until)
-    return;
-  k.lapsing_until = {};
-  std::erase_if(k.held, [](const auto& row) { return row.second.lapse; });
-}
-
-// ---- [7] Answers ------------------------------------------------------------
+// ---- [5] Answers ------------------------------------------------------------
 
 void RaiseFence(keeper_state& k) {
   k.fence += k.fence_step;
@@ -715,7 +493,7 @@
   }
 };
 
-// ---- [8] Tick ---------------------------------------------------------------
+// ---- [6] Tick ---------------------------------------------------------------
 
 // Failure guarded against: the worker is gone without a word, or out of reach.
 // It shows as no answer at all. Once no lease granted to it can be left, what
@@ -888,26 +666,7 @@
   return kept ? room{} : FreeRoom(k);
 }
 
-// ---- [9] Reports ------------------------------------------------------------
-
-namespace {
-
-constexpr size_t kMostUnclaimed = 200;  // in one report
-
-// Failure guarded against: the owner of a run that has ended is dead. Whoever
-// takes its jobs over learns from here what their tasks came to.
-std::vector<run_end> UnclaimedEnds(const keeper_state& k, micros now) {
-  std::vector<run_end> ends;
-  for (const auto& [number, held] : k.held) {
-    const bool heard = held.claimed && Vouched(k, now, held.owner) &&
-                       now - held.since < k.options.unclaimed_after;
-    if (!heard && !held.lapse && ends.size() < kMostUnclaimed)
-      ends.push_back(held.end);
-  }
-  return ends;
-}
-
-}  // namespace
+// ---- [7] Reports ------------------------------------------------------------
 
 lease_reports ReportFor(keeper_state& k, micros now, incarnation owner_name) {
   lease_reports report;
@@ -933,10 +692,4 @@
   return report;
 }
 
-void ForgetOwner(keeper_state& k, incarnation owner) {
-  for (auto& [number, held] : k.held)
-    held.claimed = held.claimed && held.owner != owner;
-  k.owners.erase(owner);
-}
-
 }  // namespace cassiaferry
