Stopping entries take durable jobs for a time; log lines without fields are objects

Their acceptance is stored, and others finish them. "store lost" and "store reached" were written as {...,ul}: an event without fields is null, not an empty object.

--- a/src/apps/event_log.cc
+++ b/src/apps/event_log.cc
@@ -49,20 +49,21 @@
          static_cast<ssize_t>(line.size());
 }
 
-std::string MakeLine(const char* part,
-                     const char* what,
-                     const nlohmann::json& fields) {
+}  // namespace
+
+std::string EventLine(const char* part,
+                      const char* what,
+                      const nlohmann::json& fields) {
   std::string line = R"({"at_ms":)" + std::to_string(WallMillis()) +
                      R"(,"part":")" + part + R"(","what":")" + what + "\"";
   const std::string rest =
       fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  if (rest.size() > 2)
+  // No fields at all are null, not an empty object.
+  if (fields.is_object() && !fields.empty())
     line += "," + rest.substr(1, rest.size() - 2);
   return line + "}\n";
 }
 
-}  // namespace
-
 void LogEvent(const char* part,
               const char* what,
               const nlohmann::json& fields) {
@@ -73,9 +74,9 @@
     return;
   }
   if (s.dropped > 0 &&
-      WriteLine(MakeLine(part, "log lines dropped", {{"count", s.dropped}})))
+      WriteLine(EventLine(part, "log lines dropped", {{"count", s.dropped}})))
     s.dropped = 0;
-  if (!WriteLine(MakeLine(part, what, fields)))
+  if (!WriteLine(EventLine(part, what, fields)))
     ++s.dropped;
 }
 
--- a/src/apps/event_log.h
+++ b/src/apps/event_log.h
@@ -12,6 +12,11 @@
 
 namespace cassiaferry {
 
+// The line as it is written, with its end.
+std::string EventLine(const char* part,
+                      const char* what,
+                      const nlohmann::json& fields);
+
 // `part`: "entry" or "sidecar". Members of `fields` follow the time, the part
 // and what happened. Any thread.
 void LogEvent(const char* part,
--- a/src/core/durable_jobs.cc
+++ b/src/core/durable_jobs.cc
@@ -72,7 +72,12 @@
 // Null: it may be taken.
 std::optional<failure> WhyNot(const entry_state& s, micros now) {
   const durable_state& d = s.leased.durable;
-  if (s.draining)
+  // A stopping entry serves what its callers still send on open connections;
+  // what it can't finish it leaves to others.
+  const bool stops =
+      s.draining &&
+      (d.released || now - s.drain_since >= s.leased.options.drain_accept);
+  if (stops)
     return failure{verdict::not_run, reason::draining, "this entry stops",
                    kStoreRetryMs};
   if (IsUnreachable(d.journal, now))
--- a/tests/durable_unit_test.cc
+++ b/tests/durable_unit_test.cc
@@ -282,6 +282,31 @@
   }
 }
 
+// What a user sees: a booking refused on a phone whose connection stays with an
+// entry that is being stopped, though nothing is wrong. It takes jobs for a
+// time, finishes the short ones, and leaves the others to an entry that stays.
+TEST_CASE_METHOD(durable_jobs, "owner_stopping_takes_jobs_and_leaves_them") {
+  entry_state& entry = *w.entries[0].core;
+  entry.options.leased.drain_accept = Millis(2400);
+  entry.options.leased.drain_close = Millis(2400);
+  entry.leased.options = entry.options.leased;
+  w.SubmitTo(0, MakeDurable("long", 2, 1000, 6000));
+  w.Pass(Millis(50));
+  w.entries[0].inbox.emplace_back(entry_drain_requested{});
+  w.Pass(Millis(1000));
+  w.SubmitTo(0, MakeDurable("short", 2, 1000, 100));
+  w.Pass(Millis(2000));
+  REQUIRE(w.jobs["short"].fate == job_fate::completed);
+  w.SubmitTo(0, MakeDurable("late", 2, 1000, 100));
+  w.Pass(Millis(100));
+  REQUIRE(w.jobs["late"].fate == job_fate::refused);
+  w.Pass(Millis(700));
+  REQUIRE(entry.drained_said);
+  w.Pass(Millis(12'000));
+  REQUIRE(w.jobs["long"].fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
 // ---- [4] The store ----------------------------------------------------------
 
 // What a user sees: a job is refused although it runs, or runs twice. Order:
