Placing near data; tests of labels, data near and tasks of a step on one worker

A step's data name a rack: its workers are taken first, others when they are full. Fails without: data_near_tasks_run_there_while_there_is_room.

--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -35,11 +35,12 @@
 // ---- [1] Jobs as callers send them ------------------------------------------
 
 struct leased_step {
-  uint32_t count = 1;            // tasks
-  room need;                     // of each task
-  int64_t expected_ms = 0;       // declared, often wrong; 0: none
-  std::vector<uint32_t> after;   // earlier steps that must be done first
-  std::string label;             // that the worker must have; empty: any
+  uint32_t count = 1;           // tasks
+  room need;                    // of each task
+  int64_t expected_ms = 0;      // declared, often wrong; 0: none
+  std::vector<uint32_t> after;  // earlier steps that must be done first
+  std::string label;            // that the worker must have; empty: any
+  std::string near;  // label of the workers where its data lie: taken first
   uint32_t most_per_worker = 0;  // tasks of the step on one worker; 0: any
 };
 
--- a/src/apps/entry_durable.cc
+++ b/src/apps/entry_durable.cc
@@ -43,6 +43,8 @@
     {"expected_ms", field_kind::integer, 0, 3'600'000},
     {"after", field_kind::array, 0, 100},
     {"label", field_kind::text, 0, 64},
+    {"near", field_kind::text, 0, 64},
+    {"most_per_worker", field_kind::integer, 0, 10'000},
 };
 
 std::vector<config_error> Check(const json& body) {
@@ -75,6 +77,8 @@
   step.expected_ms = j.value("expected_ms", int64_t{0});
   step.after = j.value("after", std::vector<uint32_t>());
   step.label = j.value("label", "");
+  step.near = j.value("near", "");
+  step.most_per_worker = j.value("most_per_worker", 0u);
   return step;
 }
 
--- a/src/core/durable_rows.cc
+++ b/src/core/durable_rows.cc
@@ -55,6 +55,8 @@
     j["after"] = step.after;
   if (!step.label.empty())
     j["label"] = step.label;
+  if (!step.near.empty())
+    j["near"] = step.near;
   if (step.most_per_worker != 0)
     j["most_per_worker"] = step.most_per_worker;
   return j;
@@ -67,6 +69,7 @@
   step.expected_ms = j.at("expected_ms");
   step.after = j.value("after", std::vector<uint32_t>());
   step.label = j.value("label", "");
+  step.near = j.value("near", "");
   step.most_per_worker = j.value("most_per_worker", 0u);
   return step;
 }
--- a/src/core/leased_placing.cc
+++ b/src/core/leased_placing.cc
@@ -50,6 +50,18 @@
          (w.avoid_until > now ? kAvoidWeight : 0);
 }
 
+// Away from its data a task takes longer, and may still be sooner done there
+// than after a wait: other workers are taken when those near it are full.
+void KeepNear(const entry_state& s,
+              const leased_step& step,
+              std::vector<worker_id>& fitting) {
+  const auto is_far = [&](worker_id id) {
+    return !HasLabel(s.leased.workers[id.value], step.near);
+  };
+  if (!std::all_of(fitting.begin(), fitting.end(), is_far))
+    std::erase_if(fitting, is_far);
+}
+
 std::optional<worker_id> ChooseWorker(entry_state& s,
                                       micros now,
                                       const leased_job& job,
@@ -65,6 +77,7 @@
       continue;
     fitting.push_back(id);
   }
+  KeepNear(s, needs, fitting);
   std::optional<worker_id> best;
   double best_cost = 0;
   for (int i = 0; i < kChoices && !fitting.empty(); ++i) {
--- a/src/core/leased_systems.h
+++ b/src/core/leased_systems.h
@@ -96,6 +96,7 @@
 lease_orders& OrdersFor(entry_state& s, worker_id id);
 leased_worker& WorkerOf(entry_state& s, worker_id id);
 room FreeNow(const leased_worker& w);
+bool HasLabel(const leased_worker& w, const std::string& label);
 bool MayTake(const entry_state& s,
              worker_id id,
              const leased_job& job,
--- a/src/core/leased_workers.cc
+++ b/src/core/leased_workers.cc
@@ -49,13 +49,13 @@
   return w.free - w.in_flight_room;
 }
 
-namespace {
-
 bool HasLabel(const leased_worker& w, const std::string& label) {
   return label.empty() || std::find(w.info.labels.begin(), w.info.labels.end(),
                                     label) != w.info.labels.end();
 }
 
+namespace {
+
 // Median of what the workers of the same upstream do, so that estimates which
 // are off for all make none look slow.
 double UsualPace(const leased_state& l, const std::string& upstream) {
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -590,6 +590,7 @@
     e.info.life = w.life;
     e.info.upstream = kUpstream;
     e.info.capacity = options.capacity;
+    e.info.labels = w.labels;
     e.sequence = ++w.announcements;
     e.draining = w.draining;
     Deliver(worker, sidecars[static_cast<size_t>(worker)].lives, e);
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -64,6 +64,7 @@
 struct emulated_worker {
   std::string life;
   uint64_t lives = 0;
+  std::vector<std::string> labels;
   bool up = true;
   bool silent = false;  // answers nothing, and goes on
   bool hangs = false;   // what runs there stands still
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -203,6 +203,62 @@
   RequireNothingBroken();
 }
 
+// Workers 0 and 1 stand in rack "r1", the others in "r2".
+struct racked_jobs : leased_jobs {
+  racked_jobs() {
+    for (size_t i = 0; i < w.workers.size(); ++i)
+      w.workers[i].labels = {i < 2 ? "r1" : "r2"};
+    w.Pass(Millis(1500));
+  }
+
+  uint64_t StartsIn(size_t from, size_t to) const {
+    uint64_t starts = 0;
+    for (size_t i = from; i < to; ++i)
+      starts += w.workers[i].starts;
+    return starts;
+  }
+};
+
+TEST_CASE_METHOD(racked_jobs, "label_required_tasks_run_only_there") {
+  emulated_job job = MakeJob("job", 12, 4000, 100);
+  job.steps[0].label = "r1";
+  w.Submit(std::move(job));
+  w.Pass(Millis(600));
+  REQUIRE(w.Count(job_fate::completed) == 1);
+  REQUIRE(StartsIn(0, 2) == 12);
+  REQUIRE(StartsIn(2, 4) == 0);
+}
+
+// What a user sees: a job takes half as long again as it need, its data being
+// in another rack, with room where they are. When that is full others are
+// taken.
+TEST_CASE_METHOD(racked_jobs, "data_near_tasks_run_there_while_there_is_room") {
+  emulated_job job = MakeJob("fits", 8, 4000, 100);
+  job.steps[0].near = "r1";
+  w.Submit(std::move(job));
+  w.Pass(Millis(300));
+  REQUIRE(StartsIn(0, 2) == 8);
+  REQUIRE(StartsIn(2, 4) == 0);
+  job = MakeJob("more", 12, 4000, 100);
+  job.steps[0].near = "r1";
+  w.Submit(std::move(job));
+  w.Pass(Millis(150));
+  REQUIRE(w.Count(job_fate::completed) == 2);
+  REQUIRE(StartsIn(2, 4) == 4);
+}
+
+TEST_CASE_METHOD(racked_jobs, "most_per_worker_is_kept") {
+  emulated_job job = MakeJob("job", 10, 500, 300);
+  job.steps[0].most_per_worker = 2;
+  w.Submit(std::move(job));
+  for (int i = 0; i < 90; ++i) {
+    w.Pass(Millis(10));
+    for (const emulated_worker& worker : w.workers)
+      REQUIRE(worker.runs.size() <= 2);
+  }
+  REQUIRE(w.Count(job_fate::completed) == 1);
+}
+
 // ---- [3] Sick workers -------------------------------------------------------
 
 // What a user sees: one booking in four hangs until its caller gives up. Order:
