--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -4,10 +4,7 @@
 //   [1] Time
 //   [2] Processes
 //   [3] Streams
-//   [4] Orders to workers
-//   [5] What workers do
-//   [6] Callers
-//   [7] Faults
+//   [4] Faults
 
 #include "leased_world.h"
 
@@ -19,16 +16,6 @@
 namespace {
 
 constexpr micros kIdleTick = Millis(50);
-constexpr micros kWorkerStep = Millis(1);
-constexpr int64_t kLateFromMs = 2000;
-constexpr int64_t kLateToMs = 12'000;
-constexpr int64_t kStopMs = 40;
-constexpr int kMostSends = 20;
-constexpr char kUpstream[] = "slots";
-
-std::string EntryAddress(int entry) {
-  return "entry-" + std::to_string(entry);
-}
 
 int EntryOfAddress(const std::string& address) {
   return std::stoi(address.substr(address.find('-') + 1));
@@ -50,6 +37,10 @@
 
 }  // namespace
 
+std::string EntryAddress(int entry) {
+  return "entry-" + std::to_string(entry);
+}
+
 // ---- [1] Time ---------------------------------------------------------------
 
 world::world(const world_options& o) : options(o), random(options.seed) {
@@ -101,6 +92,18 @@
 
 // ---- [2] Processes ----------------------------------------------------------
 
+template <typename Process>
+void world::TickWhenIdle(Process& process, action wake) {
+  auto idle = std::make_shared<action>();
+  *idle = [this, &process, life = process.lives, wake, idle] {
+    if (process.lives != life)
+      return;
+    wake();
+    At(now + kIdleTick, *idle);
+  };
+  (*idle)();
+}
+
 void world::StartEntry(int entry) {
   emulated_entry& e = entries[static_cast<size_t>(entry)];
   e.state = process_state::up;
@@ -120,15 +123,7 @@
   e.inbox.clear();
   e.inbox.emplace_back(config_received{Configuration()});
   e.tick_due = false;
-  const uint64_t life = e.lives;
-  auto idle = std::make_shared<action>();
-  *idle = [this, entry, life, idle] {
-    if (entries[static_cast<size_t>(entry)].lives != life)
-      return;
-    WakeEntry(entry);
-    At(now + kIdleTick, *idle);
-  };
-  (*idle)();
+  TickWhenIdle(e, [this, entry] { WakeEntry(entry); });
 }
 
 void world::StartSidecar(int sidecar) {
@@ -152,45 +147,32 @@
   s.core = std::make_unique<sidecar_state>(MakeSidecar(o));
   s.inbox.clear();
   s.tick_due = false;
-  const uint64_t life = s.lives;
-  auto idle = std::make_shared<action>();
-  *idle = [this, sidecar, life, idle] {
-    if (sidecars[static_cast<size_t>(sidecar)].lives != life)
-      return;
-    WakeSidecar(sidecar);
-    At(now + kIdleTick, *idle);
-  };
-  (*idle)();
+  TickWhenIdle(s, [this, sidecar] { WakeSidecar(sidecar); });
 }
 
-void world::WakeEntry(int entry) {
-  emulated_entry& e = entries[static_cast<size_t>(entry)];
-  if (e.tick_due || e.state != process_state::up)
+// An entry or a sidecar ticks soon, once, whatever arrives until then.
+template <typename Process>
+void world::Wake(Process& process, action tick) {
+  if (process.tick_due || process.state != process_state::up)
     return;
-  e.tick_due = true;
-  At(now + micros{100}, [this, entry, life = e.lives] {
-    emulated_entry& same = entries[static_cast<size_t>(entry)];
-    if (same.lives != life)
+  process.tick_due = true;
+  At(now + micros{100}, [&process, life = process.lives, tick] {
+    if (process.lives != life)
       return;
-    same.tick_due = false;
-    if (same.state == process_state::up)
-      TickEntry(entry);
+    process.tick_due = false;
+    if (process.state == process_state::up)
+      tick();
   });
 }
 
+void world::WakeEntry(int entry) {
+  Wake(entries[static_cast<size_t>(entry)],
+       [this, entry] { TickEntry(entry); });
+}
+
 void world::WakeSidecar(int sidecar) {
-  emulated_sidecar& s = sidecars[static_cast<size_t>(sidecar)];
-  if (s.tick_due || s.state != process_state::up)
-    return;
-  s.tick_due = true;
-  At(now + micros{100}, [this, sidecar, life = s.lives] {
-    emulated_sidecar& same = sidecars[static_cast<size_t>(sidecar)];
-    if (same.lives != life)
-      return;
-    same.tick_due = false;
-    if (same.state == process_state::up)
-      TickSidecar(sidecar);
-  });
+  Wake(sidecars[static_cast<size_t>(sidecar)],
+       [this, sidecar] { TickSidecar(sidecar); });
 }
 
 void world::TickEntry(int entry) {
@@ -329,411 +311,7 @@
   }
 }
 
-// ---- [4] Orders to workers --------------------------------------------------
-
-void world::Deliver(int sidecar, uint64_t life, keeper_event event) {
-  emulated_sidecar& s = sidecars[static_cast<size_t>(sidecar)];
-  if (s.lives != life || s.state == process_state::down)
-    return;
-  s.inbox.emplace_back(std::move(event));
-  WakeSidecar(sidecar);
-}
-
-bool world::AnswersOrders(const emulated_worker& w,
-                          const std::string& life) const {
-  static_cast<void>(life);
-  return w.up && !w.silent;
-}
-
-// Each order: at the worker after a delay, its answer back after another; with
-// a chance, no answer and carried out seconds later; without an answer, the
-// caller's time-out.
-void world::CallWorker(int sidecar, const keeper_action& call) {
-  if (const auto* note = std::get_if<keeper_note>(&call))
-    Log("sidecar-" + std::to_string(sidecar),
-        std::string(note->what) + ", " + note->detail);
-  const uint64_t life = sidecars[static_cast<size_t>(sidecar)].lives;
-  const bool late = Chance() < workers[static_cast<size_t>(sidecar)].late_share;
-  const micros extra =
-      late ? Millis(kLateFromMs +
-                    static_cast<int64_t>(random() % (kLateToMs - kLateFromMs)))
-           : micros{0};
-  auto done = std::make_shared<bool>(false);
-  const auto answer = [this, sidecar, life, done, late](keeper_event event) {
-    if (late || *done)
-      return;
-    *done = true;
-    At(now + options.worker_delay,
-       [this, sidecar, life, event = std::move(event)] {
-         Deliver(sidecar, life, event);
-       });
-  };
-  const auto time_out = [this, sidecar, life, done](int64_t ms,
-                                                    keeper_event event) {
-    At(now + Millis(ms), [this, sidecar, life, done, event = std::move(event)] {
-      if (*done)
-        return;
-      *done = true;
-      Deliver(sidecar, life, event);
-    });
-  };
-  const micros arrives = now + options.worker_delay + extra;
-  if (const auto* start = std::get_if<call_run_start>(&call)) {
-    time_out(
-        start->timeout_ms,
-        run_start_answered{start->start.ref, start->life, worker_answer::none});
-    At(arrives, [this, sidecar, c = *start, answer] {
-      if (AnswersOrders(workers[static_cast<size_t>(sidecar)], c.life))
-        answer(run_start_answered{c.start.ref, c.life, DoStart(sidecar, c)});
-    });
-  } else if (const auto* stop = std::get_if<call_run_stop>(&call)) {
-    time_out(stop->timeout_ms,
-             run_stop_answered{stop->ref, stop->life, worker_answer::none});
-    At(arrives, [this, sidecar, c = *stop, answer] {
-      if (AnswersOrders(workers[static_cast<size_t>(sidecar)], c.life))
-        answer(run_stop_answered{c.ref, c.life, DoStop(sidecar, c)});
-    });
-  } else if (const auto* look = std::get_if<call_look>(&call)) {
-    look_answered none;
-    none.life = look->life;
-    time_out(look->timeout_ms, none);
-    At(arrives, [this, sidecar, c = *look, answer] {
-      // The lease is extended at once; the answer waits for an end.
-      if (!AnswersOrders(workers[static_cast<size_t>(sidecar)], c.life))
-        return;
-      const micros until = now + Millis(c.wait_ms);
-      auto poll = std::make_shared<action>();
-      call_look first = c;
-      *poll = [this, sidecar, c = first, until, answer, poll]() mutable {
-        const emulated_worker& w = workers[static_cast<size_t>(sidecar)];
-        if (!AnswersOrders(w, c.life))
-          return;
-        look_answered seen = DoLook(sidecar, c);
-        c.lease_until_ms = 0;
-        if (seen.answer != worker_answer::ok || !seen.ended.empty() ||
-            now >= until) {
-          answer(std::move(seen));
-          return;
-        }
-        At(now + kWorkerStep, *poll);
-      };
-      (*poll)();
-    });
-  }
-}
-
-// ---- [5] What workers do ----------------------------------------------------
-
-int64_t world::ClockOf(const emulated_worker& w) const {
-  return static_cast<int64_t>(
-      static_cast<double>((now - w.clock_origin).value) * w.clock_rate / 1000);
-}
-
-void world::EndRun(emulated_worker& w,
-                   const leased_task& task,
-                   run_end_kind how) {
-  const auto it = w.runs.find(task);
-  w.over[task] = std::max(w.over[task], it->second.run);
-  w.ended.push_back({w.next_end++, {task, it->second.run}, how});
-  NoteEnd(static_cast<int>(&w - workers.data()), w.ended.back());
-  w.runs.erase(it);
-}
-
-room world::UsedBy(int worker) const {
-  room used;
-  for (const auto& [task, run] : workers[static_cast<size_t>(worker)].runs)
-    used = used + run.need;
-  return used;
-}
-
-// What must hold whenever a worker begins a task.
-void world::CheckStart(int worker, const run_start& start) {
-  const leased_task& task = start.ref.task;
-  const std::string name = task.job + "." + std::to_string(task.index);
-  ++overlaps_checked;
-  for (size_t i = 0; i < workers.size(); ++i) {
-    if (workers[i].up && workers[i].runs.count(task) != 0)
-      Broken("two runs at once of " + name);
-  }
-  const room free = options.capacity - UsedBy(worker);
-  if (!Fits(start.need, free))
-    Broken("worker " + std::to_string(worker) + " is brought over its room");
-  const auto job = jobs.find(task.job);
-  if (job == jobs.end()) {
-    Broken("nobody submitted " + name);
-    return;
-  }
-  if (job->second.fate == job_fate::refused)
-    Broken("said not to have run, and started: " + name);
-  job->second.started = true;
-  NoteStart(start.ref);
-}
-
-worker_answer world::DoStart(int worker, const call_run_start& c) {
-  emulated_worker& w = workers[static_cast<size_t>(worker)];
-  if (c.life != w.life)
-    return worker_answer::other_life;
-  if (c.fence < w.fence)
-    return worker_answer::stale_fence;
-  w.fence = c.fence;
-  const leased_task& task = c.start.ref.task;
-  const auto there = w.runs.find(task);
-  if (there != w.runs.end() && there->second.run == c.start.ref.run)
-    return worker_answer::ok;
-  if (there != w.runs.end() || w.over[task] >= c.start.ref.run)
-    return worker_answer::superseded;
-  if (c.lease_until_ms <= ClockOf(w))
-    return worker_answer::late;
-  CheckStart(worker, c.start);
-  w.lease_until_ms = std::max(w.lease_until_ms, c.lease_until_ms);
-  const emulated_job& job = jobs[task.job];
-  worker_run run;
-  run.run = c.start.ref.run;
-  run.need = c.start.need;
-  run.since = now;
-  const int64_t ms =
-      job.run_ms.empty() ? 100 : job.run_ms[task.index % job.run_ms.size()];
-  run.ends =
-      now +
-      micros{static_cast<int64_t>(static_cast<double>(ms) * 1000 * w.slowness)};
-  run.will_fail = job.hopeless || w.fails_all;
-  Log("worker " + std::to_string(worker),
-      "start " + task.job + "." + std::to_string(task.index) + " run " +
-          std::to_string(c.start.ref.run));
-  w.runs.emplace(task, run);
-  ++w.starts;
-  return worker_answer::ok;
-}
-
-worker_answer world::DoStop(int worker, const call_run_stop& c) {
-  emulated_worker& w = workers[static_cast<size_t>(worker)];
-  if (c.life != w.life)
-    return worker_answer::other_life;
-  if (c.fence < w.fence)
-    return worker_answer::stale_fence;
-  w.fence = c.fence;
-  w.over[c.ref.task] = std::max(w.over[c.ref.task], c.ref.run);
-  const auto there = w.runs.find(c.ref.task);
-  if (there == w.runs.end() || there->second.run != c.ref.run)
-    return worker_answer::ok;
-  At(now + Millis(kStopMs), [this, worker, ref = c.ref, life = w.life] {
-    emulated_worker& same = workers[static_cast<size_t>(worker)];
-    const auto run = same.runs.find(ref.task);
-    if (same.life == life && run != same.runs.end() &&
-        run->second.run == ref.run)
-      EndRun(same, ref.task, run_end_kind::stopped);
-  });
-  return worker_answer::ok;
-}
-
-uint32_t world::PercentOf(const worker_run& run) const {
-  const double whole = static_cast<double>((run.ends - run.since).value);
-  const double past = static_cast<double>((now - run.since).value);
-  return static_cast<uint32_t>(
-      std::clamp(past / std::max(1.0, whole), 0.0, 1.0) * 100);
-}
-
-look_answered world::DoLook(int worker, const call_look& c) {
-  emulated_worker& w = workers[static_cast<size_t>(worker)];
-  look_answered a;
-  a.life = c.life;
-  if (c.life != w.life) {
-    a.answer = worker_answer::other_life;
-    return a;
-  }
-  if (c.fence < w.fence) {
-    a.answer = worker_answer::stale_fence;
-    return a;
-  }
-  w.fence = c.fence;
-  w.lease_until_ms = std::max(w.lease_until_ms, c.lease_until_ms);
-  NoteAck(worker, c.seen);
-  std::erase_if(w.ended,
-                [&](const listed_end& e) { return e.number <= c.seen; });
-  a.answer = worker_answer::ok;
-  a.clock_ms = ClockOf(w);
-  for (const auto& [task, run] : w.runs)
-    a.running.push_back({{task, run.run}, PercentOf(run)});
-  a.ended = w.ended;
-  return a;
-}
-
-void world::AdvanceWorker(int worker) {
-  emulated_worker& w = workers[static_cast<size_t>(worker)];
-  std::vector<leased_task> due;
-  const bool lapsed = ClockOf(w) > w.lease_until_ms;
-  if (lapsed)
-    NoteLapse(worker);
-  cpu_used_us += static_cast<double>(UsedBy(worker).cpu * kWorkerStep.value);
-  for (auto& [task, run] : w.runs) {
-    if (w.hangs) {
-      run.since = run.since + kWorkerStep;
-      run.ends = run.ends + kWorkerStep;
-    }
-    if (lapsed || run.ends <= now)
-      due.push_back(task);
-  }
-  for (const leased_task& task : due) {
-    const bool fails = w.runs[task].will_fail;
-    EndRun(w, task,
-           lapsed  ? run_end_kind::lost
-           : fails ? run_end_kind::failed
-                   : run_end_kind::done);
-  }
-  At(now + kWorkerStep, [this, worker] { AdvanceWorker(worker); });
-}
-
-void world::AnnounceWorker(int worker) {
-  emulated_worker& w = workers[static_cast<size_t>(worker)];
-  if (w.up && !w.silent) {
-    leased_worker_announced e;
-    e.info.life = w.life;
-    e.info.upstream = kUpstream;
-    e.info.capacity = options.capacity;
-    e.info.labels = w.labels;
-    e.sequence = ++w.announcements;
-    e.draining = w.draining;
-    Deliver(worker, sidecars[static_cast<size_t>(worker)].lives, e);
-  }
-  At(now + options.announce_every, [this, worker] { AnnounceWorker(worker); });
-}
-
-// ---- [6] Callers ------------------------------------------------------------
-
-emulated_job MakeJob(const std::string& id,
-                     uint32_t tasks,
-                     int64_t cpu,
-                     int64_t run_ms) {
-  emulated_job job;
-  job.id = id;
-  job.queue = kQueue;
-  leased_step step;
-  step.count = tasks;
-  step.need = {cpu, 64, 0};
-  step.expected_ms = run_ms;
-  job.steps = {step};
-  job.run_ms.assign(tasks, run_ms);
-  return job;
-}
-
-void world::Submit(emulated_job job) {
-  SubmitTo(static_cast<int>(random() % entries.size()), std::move(job));
-}
-
-void world::SubmitTo(int entry, emulated_job job) {
-  job.first_sent = now;
-  const std::string id = job.id;
-  jobs.emplace(id, std::move(job));
-  Send(id, entry);
-}
-
-void world::Send(const std::string& id, int entry) {
-  emulated_job& job = jobs[id];
-  emulated_entry& e = entries[static_cast<size_t>(entry)];
-  if (++job.sends > kMostSends) {
-    job.fate = job_fate::given_up;
-    return;
-  }
-  const uint64_t ticket = next_ticket_++;
-  job.entry = entry;
-  job.entry_life = e.lives;
-  job.ticket = ticket;
-  if (e.state == process_state::down) {
-    Unanswered(id, ticket);
-    return;
-  }
-  leased_job_submitted event;
-  event.ticket = ticket_id{ticket};
-  event.request.id = id;
-  event.request.queue = job.queue;
-  event.request.payload = "work";
-  event.request.steps = job.steps;
-  event.request.wait_ms = job.wait_ms;
-  event.request.durable = job.durable;
-  tickets_[{entry, ticket}] = id;
-  At(now + options.caller_delay,
-     [this, entry, life = e.lives, event = std::move(event)] {
-       emulated_entry& same = entries[static_cast<size_t>(entry)];
-       if (same.lives != life)
-         return;
-       same.inbox.emplace_back(event);
-       WakeEntry(entry);
-     });
-}
-
-void world::Answered(int entry, const answer_leased_job& answer) {
-  const auto ticket = tickets_.find({entry, answer.ticket.value});
-  if (ticket == tickets_.end())
-    return;
-  const std::string id = ticket->second;
-  tickets_.erase(ticket);
-  At(now + options.caller_delay, [this, id, answer] {
-    emulated_job& job = jobs[id];
-    if (job.durable) {
-      TakeDurableAnswer(id, answer);
-      return;
-    }
-    if (job.fate != job_fate::open || job.ticket != answer.ticket.value)
-      return;
-    job.answered = now;
-    const bool not_run = answer.why.what == verdict::not_run;
-    switch (answer.outcome) {
-      case leased_outcome::completed:
-        job.fate = job_fate::completed;
-        return;
-      case leased_outcome::failed:
-        job.fate = job_fate::failed;
-        return;
-      case leased_outcome::cancelled:
-        job.fate = job_fate::given_up;
-        return;
-      case leased_outcome::accepted:  // of durable jobs alone
-      case leased_outcome::refused:
-        break;
-    }
-    if (!not_run) {
-      Unanswered(id, answer.ticket.value);
-      return;
-    }
-    // Earlier sends may have run: only the first one's refusal is a promise.
-    job.fate = job.sends == 1 ? job_fate::refused : job_fate::given_up;
-    if (job.sends == 1 && job.started)
-      Broken("refused as not run, though it started: " + id);
-  });
-}
-
-void world::Unanswered(const std::string& id, uint64_t ticket) {
-  At(now + options.resend_after, [this, id, ticket] {
-    emulated_job& job = jobs[id];
-    if (job.fate == job_fate::open && job.ticket == ticket)
-      Send(id, static_cast<int>(random() % entries.size()));
-  });
-}
-
-void world::DropCaller(const std::string& id, micros seen_after) {
-  emulated_job& job = jobs[id];
-  if (job.fate != job_fate::open)
-    return;
-  const uint64_t ticket = job.ticket;
-  At(now + seen_after,
-     [this, entry = job.entry, life = job.entry_life, ticket] {
-       emulated_entry& e = entries[static_cast<size_t>(entry)];
-       if (e.lives != life)
-         return;
-       e.inbox.emplace_back(caller_gone{ticket_id{ticket}});
-       WakeEntry(entry);
-     });
-  tickets_.erase({job.entry, ticket});
-  Unanswered(id, ticket);
-}
-
-size_t world::Count(job_fate fate) const {
-  return static_cast<size_t>(
-      std::count_if(jobs.begin(), jobs.end(),
-                    [&](const auto& row) { return row.second.fate == fate; }));
-}
-
-// ---- [7] Faults -------------------------------------------------------------
+// ---- [4] Faults -------------------------------------------------------------
 
 void world::KillEntry(int entry) {
   Log("fault", "kill " + EntryAddress(entry));
@@ -796,36 +374,39 @@
   });
 }
 
-void world::FreezeEntry(int entry, micros time) {
-  Log("fault", "freeze " + EntryAddress(entry) + " ms " +
-                   std::to_string(ToMillis(time)));
-  emulated_entry& e = entries[static_cast<size_t>(entry)];
-  if (e.state != process_state::up)
+template <typename Process>
+void world::Freeze(Process& process, micros time, action wake) {
+  if (process.state != process_state::up)
     return;
-  e.state = process_state::frozen;
-  At(now + time, [this, entry, life = e.lives] {
-    emulated_entry& same = entries[static_cast<size_t>(entry)];
-    if (same.lives != life || same.state != process_state::frozen)
+  process.state = process_state::frozen;
+  At(now + time, [&process, life = process.lives, wake] {
+    if (process.lives != life || process.state != process_state::frozen)
       return;
-    same.state = process_state::up;
-    WakeEntry(entry);
+    process.state = process_state::up;
+    wake();
   });
 }
 
+void world::FreezeEntry(int entry, micros time) {
+  Log("fault", "freeze " + EntryAddress(entry) + " ms " +
+                   std::to_string(ToMillis(time)));
+  Freeze(entries[static_cast<size_t>(entry)], time,
+         [this, entry] { WakeEntry(entry); });
+}
+
 void world::FreezeSidecar(int sidecar, micros time) {
   Log("fault", "freeze sidecar-" + std::to_string(sidecar) + " ms " +
                    std::to_string(ToMillis(time)));
-  emulated_sidecar& s = sidecars[static_cast<size_t>(sidecar)];
-  if (s.state != process_state::up)
-    return;
-  s.state = process_state::frozen;
-  At(now + time, [this, sidecar, life = s.lives] {
-    emulated_sidecar& same = sidecars[static_cast<size_t>(sidecar)];
-    if (same.lives != life || same.state != process_state::frozen)
-      return;
-    same.state = process_state::up;
-    WakeSidecar(sidecar);
-  });
+  Freeze(sidecars[static_cast<size_t>(sidecar)], time,
+         [this, sidecar] { WakeSidecar(sidecar); });
+}
+
+void world::SilenceWorker(int worker, micros time) {
+  Log("fault", "silence worker " + std::to_string(worker) + " ms " +
+                   std::to_string(ToMillis(time)));
+  emulated_worker& w = workers[static_cast<size_t>(worker)];
+  w.silent = true;
+  At(now + time, [&w] { w.silent = false; });
 }
 
 void world::CrashWorker(int worker, micros down_for) {
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -193,6 +193,7 @@
   void FreezeEntry(int entry, micros time);
   void FreezeSidecar(int sidecar, micros time);
   void CrashWorker(int worker, micros down_for);
+  void SilenceWorker(int worker, micros time);  // it runs on meanwhile
   void DrainWorker(int worker);
   void Cut(int entry, int sidecar, micros time);
   void CutFromStore(int entry, micros time);
@@ -244,6 +245,12 @@
   void StartSidecar(int sidecar);
   void TickEntry(int entry);
   void TickSidecar(int sidecar);
+  template <typename Process>
+  void TickWhenIdle(Process& process, action wake);
+  template <typename Process>
+  void Wake(Process& process, action tick);
+  template <typename Process>
+  void Freeze(Process& process, micros time, action wake);
   void WakeEntry(int entry);
   void WakeSidecar(int sidecar);
   void Act(int entry, entry_action& action);
@@ -312,6 +319,8 @@
 
 constexpr char kQueue[] = "bookings";
 
+std::string EntryAddress(int entry);
+
 }  // namespace cassiaferry::emulator
 
 #endif  // CASSIAFERRY_SRC_EMULATOR_LEASED_WORLD_H_
--- a/src/emulator/seeded_day.cc
+++ b/src/emulator/seeded_day.cc
@@ -42,44 +42,25 @@
 }
 
 void AddFault(world& w) {
-  const int entry = static_cast<int>(w.random() % w.entries.size());
-  const int worker = static_cast<int>(w.random() % w.workers.size());
   const micros time = Millis(300 + static_cast<int64_t>(w.random() % 7000));
+  const int entry = static_cast<int>(w.random() % w.entries.size());
   switch (w.random() % 11) {
     case 0:
-      w.KillEntry(entry);
-      return;
-    case 1:
-      w.KillSidecar(worker);
-      return;
-    case 2:
-      w.FreezeEntry(entry, time);
-      return;
-    case 3:
-      w.FreezeSidecar(worker, time);
-      return;
-    case 4:
-      w.CrashWorker(worker, time);
-      return;
-    case 5:
-      w.Cut(entry, worker, time);
-      return;
-    case 6:
       w.CutFromStore(entry, time);
       return;
-    case 7:
+    case 1:
       for (int i = 0; i < w.options.entries; ++i)
         w.KillEntry(i);
       return;
-    case 8:
+    case 2:
       for (int i = 0; i < w.options.workers; ++i)
         w.Cut(entry, i, time);
       return;
-    case 9:
-      w.workers[static_cast<size_t>(worker)].late_share = 0.1;
+    case 3:
+      AddStoreFault(w, time);
       return;
     default:
-      AddStoreFault(w, time);
+      AddProcessFault(w, time);
       return;
   }
 }
@@ -99,6 +80,38 @@
 
 }  // namespace
 
+void AddProcessFault(world& w, micros time) {
+  const int entry = static_cast<int>(w.random() % w.entries.size());
+  const int worker = static_cast<int>(w.random() % w.workers.size());
+  emulated_worker& at = w.workers[static_cast<size_t>(worker)];
+  switch (w.random() % 8) {
+    case 0:
+      w.KillEntry(entry);
+      return;
+    case 1:
+      w.KillSidecar(worker);
+      return;
+    case 2:
+      w.FreezeEntry(entry, time);
+      return;
+    case 3:
+      w.FreezeSidecar(worker, time);
+      return;
+    case 4:
+      w.CrashWorker(worker, time);
+      return;
+    case 5:
+      w.Cut(entry, worker, time);
+      return;
+    case 6:
+      w.SilenceWorker(worker, time);
+      return;
+    default:
+      at.late_share = at.late_share > 0 ? 0 : 0.1;
+      return;
+  }
+}
+
 // ---- [3] The day ------------------------------------------------------------
 
 day_report PlaySeededDay(uint64_t seed,
--- a/src/emulator/seeded_day.h
+++ b/src/emulator/seeded_day.h
@@ -20,6 +20,10 @@
   std::vector<violation> violations;
 };
 
+// One fault, for about `time`, of an entry, a sidecar, a worker or the link
+// between two of them.
+void AddProcessFault(world& w, micros time);
+
 // Durable and other jobs, cancels, and faults of every kind, overlapping; then
 // time to recover. `log`, if any, gets each fault and decision as a line.
 day_report PlaySeededDay(
--- /dev/null
+++ b/src/emulator/worker_world.cc
@@ -0,0 +1,293 @@
+// The emulated world's workers: orders on their way, and what they do.
+//
+// Contents
+//   [1] Orders to workers
+//   [2] What workers do
+
+#include "leased_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiaferry::emulator {
+
+namespace {
+
+constexpr micros kWorkerStep = Millis(1);
+constexpr int64_t kLateFromMs = 2000;
+constexpr int64_t kLateToMs = 12'000;
+constexpr int64_t kStopMs = 40;
+constexpr char kUpstream[] = "slots";
+
+}  // namespace
+
+// ---- [1] Orders to workers --------------------------------------------------
+
+void world::Deliver(int sidecar, uint64_t life, keeper_event event) {
+  emulated_sidecar& s = sidecars[static_cast<size_t>(sidecar)];
+  if (s.lives != life || s.state == process_state::down)
+    return;
+  s.inbox.emplace_back(std::move(event));
+  WakeSidecar(sidecar);
+}
+
+bool world::AnswersOrders(const emulated_worker& w,
+                          const std::string& life) const {
+  static_cast<void>(life);
+  return w.up && !w.silent;
+}
+
+// Each order: at the worker after a delay, its answer back after another; with
+// a chance, no answer and carried out seconds later; without an answer, the
+// caller's time-out.
+void world::CallWorker(int sidecar, const keeper_action& call) {
+  if (const auto* note = std::get_if<keeper_note>(&call))
+    Log("sidecar-" + std::to_string(sidecar),
+        std::string(note->what) + ", " + note->detail);
+  const uint64_t life = sidecars[static_cast<size_t>(sidecar)].lives;
+  const bool late = Chance() < workers[static_cast<size_t>(sidecar)].late_share;
+  const micros extra =
+      late ? Millis(kLateFromMs +
+                    static_cast<int64_t>(random() % (kLateToMs - kLateFromMs)))
+           : micros{0};
+  auto done = std::make_shared<bool>(false);
+  const auto answer = [this, sidecar, life, done, late](keeper_event event) {
+    if (late || *done)
+      return;
+    *done = true;
+    At(now + options.worker_delay,
+       [this, sidecar, life, event = std::move(event)] {
+         Deliver(sidecar, life, event);
+       });
+  };
+  const auto time_out = [this, sidecar, life, done](int64_t ms,
+                                                    keeper_event event) {
+    At(now + Millis(ms), [this, sidecar, life, done, event = std::move(event)] {
+      if (*done)
+        return;
+      *done = true;
+      Deliver(sidecar, life, event);
+    });
+  };
+  const micros arrives = now + options.worker_delay + extra;
+  if (const auto* start = std::get_if<call_run_start>(&call)) {
+    time_out(
+        start->timeout_ms,
+        run_start_answered{start->start.ref, start->life, worker_answer::none});
+    At(arrives, [this, sidecar, c = *start, answer] {
+      if (AnswersOrders(workers[static_cast<size_t>(sidecar)], c.life))
+        answer(run_start_answered{c.start.ref, c.life, DoStart(sidecar, c)});
+    });
+  } else if (const auto* stop = std::get_if<call_run_stop>(&call)) {
+    time_out(stop->timeout_ms,
+             run_stop_answered{stop->ref, stop->life, worker_answer::none});
+    At(arrives, [this, sidecar, c = *stop, answer] {
+      if (AnswersOrders(workers[static_cast<size_t>(sidecar)], c.life))
+        answer(run_stop_answered{c.ref, c.life, DoStop(sidecar, c)});
+    });
+  } else if (const auto* look = std::get_if<call_look>(&call)) {
+    look_answered none;
+    none.life = look->life;
+    time_out(look->timeout_ms, none);
+    At(arrives, [this, sidecar, c = *look, answer] {
+      // The lease is extended at once; the answer waits for an end.
+      if (!AnswersOrders(workers[static_cast<size_t>(sidecar)], c.life))
+        return;
+      const micros until = now + Millis(c.wait_ms);
+      auto poll = std::make_shared<action>();
+      call_look first = c;
+      *poll = [this, sidecar, c = first, until, answer, poll]() mutable {
+        const emulated_worker& w = workers[static_cast<size_t>(sidecar)];
+        if (!AnswersOrders(w, c.life))
+          return;
+        look_answered seen = DoLook(sidecar, c);
+        c.lease_until_ms = 0;
+        if (seen.answer != worker_answer::ok || !seen.ended.empty() ||
+            now >= until) {
+          answer(std::move(seen));
+          return;
+        }
+        At(now + kWorkerStep, *poll);
+      };
+      (*poll)();
+    });
+  }
+}
+
+// ---- [2] What workers do ----------------------------------------------------
+
+int64_t world::ClockOf(const emulated_worker& w) const {
+  return static_cast<int64_t>(
+      static_cast<double>((now - w.clock_origin).value) * w.clock_rate / 1000);
+}
+
+void world::EndRun(emulated_worker& w,
+                   const leased_task& task,
+                   run_end_kind how) {
+  const auto it = w.runs.find(task);
+  w.over[task] = std::max(w.over[task], it->second.run);
+  w.ended.push_back({w.next_end++, {task, it->second.run}, how});
+  NoteEnd(static_cast<int>(&w - workers.data()), w.ended.back());
+  w.runs.erase(it);
+}
+
+room world::UsedBy(int worker) const {
+  room used;
+  for (const auto& [task, run] : workers[static_cast<size_t>(worker)].runs)
+    used = used + run.need;
+  return used;
+}
+
+// What must hold whenever a worker begins a task.
+void world::CheckStart(int worker, const run_start& start) {
+  const leased_task& task = start.ref.task;
+  const std::string name = task.job + "." + std::to_string(task.index);
+  ++overlaps_checked;
+  for (size_t i = 0; i < workers.size(); ++i) {
+    if (workers[i].up && workers[i].runs.count(task) != 0)
+      Broken("two runs at once of " + name);
+  }
+  const room free = options.capacity - UsedBy(worker);
+  if (!Fits(start.need, free))
+    Broken("worker " + std::to_string(worker) + " is brought over its room");
+  const auto job = jobs.find(task.job);
+  if (job == jobs.end()) {
+    Broken("nobody submitted " + name);
+    return;
+  }
+  if (job->second.fate == job_fate::refused)
+    Broken("said not to have run, and started: " + name);
+  job->second.started = true;
+  NoteStart(start.ref);
+}
+
+worker_answer world::DoStart(int worker, const call_run_start& c) {
+  emulated_worker& w = workers[static_cast<size_t>(worker)];
+  if (c.life != w.life)
+    return worker_answer::other_life;
+  if (c.fence < w.fence)
+    return worker_answer::stale_fence;
+  w.fence = c.fence;
+  const leased_task& task = c.start.ref.task;
+  const auto there = w.runs.find(task);
+  if (there != w.runs.end() && there->second.run == c.start.ref.run)
+    return worker_answer::ok;
+  if (there != w.runs.end() || w.over[task] >= c.start.ref.run)
+    return worker_answer::superseded;
+  if (c.lease_until_ms <= ClockOf(w))
+    return worker_answer::late;
+  CheckStart(worker, c.start);
+  w.lease_until_ms = std::max(w.lease_until_ms, c.lease_until_ms);
+  const emulated_job& job = jobs[task.job];
+  worker_run run;
+  run.run = c.start.ref.run;
+  run.need = c.start.need;
+  run.since = now;
+  const int64_t ms =
+      job.run_ms.empty() ? 100 : job.run_ms[task.index % job.run_ms.size()];
+  run.ends =
+      now +
+      micros{static_cast<int64_t>(static_cast<double>(ms) * 1000 * w.slowness)};
+  run.will_fail = job.hopeless || w.fails_all;
+  Log("worker " + std::to_string(worker),
+      "start " + task.job + "." + std::to_string(task.index) + " run " +
+          std::to_string(c.start.ref.run));
+  w.runs.emplace(task, run);
+  ++w.starts;
+  return worker_answer::ok;
+}
+
+worker_answer world::DoStop(int worker, const call_run_stop& c) {
+  emulated_worker& w = workers[static_cast<size_t>(worker)];
+  if (c.life != w.life)
+    return worker_answer::other_life;
+  if (c.fence < w.fence)
+    return worker_answer::stale_fence;
+  w.fence = c.fence;
+  w.over[c.ref.task] = std::max(w.over[c.ref.task], c.ref.run);
+  const auto there = w.runs.find(c.ref.task);
+  if (there == w.runs.end() || there->second.run != c.ref.run)
+    return worker_answer::ok;
+  At(now + Millis(kStopMs), [this, worker, ref = c.ref, life = w.life] {
+    emulated_worker& same = workers[static_cast<size_t>(worker)];
+    const auto run = same.runs.find(ref.task);
+    if (same.life == life && run != same.runs.end() &&
+        run->second.run == ref.run)
+      EndRun(same, ref.task, run_end_kind::stopped);
+  });
+  return worker_answer::ok;
+}
+
+uint32_t world::PercentOf(const worker_run& run) const {
+  const double whole = static_cast<double>((run.ends - run.since).value);
+  const double past = static_cast<double>((now - run.since).value);
+  return static_cast<uint32_t>(
+      std::clamp(past / std::max(1.0, whole), 0.0, 1.0) * 100);
+}
+
+look_answered world::DoLook(int worker, const call_look& c) {
+  emulated_worker& w = workers[static_cast<size_t>(worker)];
+  look_answered a;
+  a.life = c.life;
+  if (c.life != w.life) {
+    a.answer = worker_answer::other_life;
+    return a;
+  }
+  if (c.fence < w.fence) {
+    a.answer = worker_answer::stale_fence;
+    return a;
+  }
+  w.fence = c.fence;
+  w.lease_until_ms = std::max(w.lease_until_ms, c.lease_until_ms);
+  NoteAck(worker, c.seen);
+  std::erase_if(w.ended,
+                [&](const listed_end& e) { return e.number <= c.seen; });
+  a.answer = worker_answer::ok;
+  a.clock_ms = ClockOf(w);
+  for (const auto& [task, run] : w.runs)
+    a.running.push_back({{task, run.run}, PercentOf(run)});
+  a.ended = w.ended;
+  return a;
+}
+
+void world::AdvanceWorker(int worker) {
+  emulated_worker& w = workers[static_cast<size_t>(worker)];
+  std::vector<leased_task> due;
+  const bool lapsed = ClockOf(w) > w.lease_until_ms;
+  if (lapsed)
+    NoteLapse(worker);
+  cpu_used_us += static_cast<double>(UsedBy(worker).cpu * kWorkerStep.value);
+  for (auto& [task, run] : w.runs) {
+    if (w.hangs) {
+      run.since = run.since + kWorkerStep;
+      run.ends = run.ends + kWorkerStep;
+    }
+    if (lapsed || run.ends <= now)
+      due.push_back(task);
+  }
+  for (const leased_task& task : due) {
+    const bool fails = w.runs[task].will_fail;
+    EndRun(w, task,
+           lapsed  ? run_end_kind::lost
+           : fails ? run_end_kind::failed
+                   : run_end_kind::done);
+  }
+  At(now + kWorkerStep, [this, worker] { AdvanceWorker(worker); });
+}
+
+void world::AnnounceWorker(int worker) {
+  emulated_worker& w = workers[static_cast<size_t>(worker)];
+  if (w.up && !w.silent) {
+    leased_worker_announced e;
+    e.info.life = w.life;
+    e.info.upstream = kUpstream;
+    e.info.capacity = options.capacity;
+    e.info.labels = w.labels;
+    e.sequence = ++w.announcements;
+    e.draining = w.draining;
+    Deliver(worker, sidecars[static_cast<size_t>(worker)].lives, e);
+  }
+  At(now + options.announce_every, [this, worker] { AnnounceWorker(worker); });
+}
+
+}  // namespace cassiaferry::emulator
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -11,7 +11,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
-#include "emulator/leased_world.h"
+#include "emulator/seeded_day.h"
 
 namespace cassiaferry::emulator {
 namespace {
@@ -631,47 +631,22 @@
 
 // ---- [6] Seeded runs --------------------------------------------------------
 
-void PlayFault(world& w) {
-  const int entry = static_cast<int>(w.random() % w.entries.size());
-  const int worker = static_cast<int>(w.random() % w.workers.size());
-  emulated_worker& at = w.workers[static_cast<size_t>(worker)];
-  const micros time = Millis(static_cast<int64_t>(w.random() % 4000));
-  switch (w.random() % 9) {
-    case 0:
-      w.KillEntry(entry);
-      return;
-    case 1:
-      w.KillSidecar(worker);
-      return;
-    case 2:
-      w.FreezeEntry(entry, time);
-      return;
-    case 3:
-      w.FreezeSidecar(worker, time);
-      return;
-    case 4:
-      w.CrashWorker(worker, time);
-      return;
-    case 5:
-      w.Cut(entry, worker, time);
-      return;
-    case 6:
-      at.late_share = at.late_share > 0 ? 0 : 0.1;
-      return;
-    case 7:
-      at.silent = !at.silent;
-      return;
-    case 8:
-      for (const auto& [id, job] : w.jobs) {
-        if (job.fate == job_fate::open && w.random() % 8 == 0) {
-          w.DropCaller(std::string(id));
-          return;
-        }
-      }
+void DropSomeCaller(world& w) {
+  for (const auto& [id, job] : w.jobs) {
+    if (job.fate == job_fate::open && w.random() % 8 == 0) {
+      w.DropCaller(std::string(id));
       return;
+    }
   }
 }
 
+void PlayFault(world& w) {
+  if (w.random() % 9 == 0)
+    DropSomeCaller(w);
+  else
+    AddProcessFault(w, Millis(static_cast<int64_t>(w.random() % 4000)));
+}
+
 TEST_CASE("world_seeded_faults_no_promise_broken") {
   for (uint64_t seed = 1; seed <= 25; ++seed) {
     world_options options;
