Durable jobs: a lapse waits for leases granted before; ends of ending jobs are kept; stops sent again

Test: job_failed_ends_are_kept_until_that_is_stored, failed before. - Read in the code: the order to stop a run could be lost with its stream, and the run, still this entry's, went on; it is sent again with the next stream. Its test (owner_cut_from_store_and_sidecar_run_is_stopped) passed before, too: the stream is given up and vouching ends first. It is kept as a check. DELETE /v1/jobs/ID checks the id.

--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -122,7 +122,7 @@
   durable_part durable;
 };
 
-// A word on an end that the sidecar has not confirmed yet.
+// What was ordered of an end that a sidecar holds, and is not confirmed yet.
 struct open_settlement {
   uint64_t sequence = 0;  // on this stream
   uint64_t number = 0;    // of the end; 0: it was unclaimed
--- a/src/apps/entry_durable.cc
+++ b/src/apps/entry_durable.cc
@@ -110,7 +110,8 @@
 }  // namespace
 
 bool IsDurableId(const std::string& id) {
-  return id.find_first_not_of(
+  return !id.empty() &&
+         id.find_first_not_of(
              "abcdefghijklmnopqrstuvwxyz"
              "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_.") == std::string::npos;
 }
--- a/src/apps/entry_http.cc
+++ b/src/apps/entry_http.cc
@@ -148,7 +148,11 @@
   }
   constexpr std::string_view kJob = "/v1/jobs/";
   if (r.method == "DELETE" && r.path.starts_with(kJob) && HasLeasedJobs()) {
-    loop_.Post(leased_job_cancelled{r.ticket, r.path.substr(kJob.size())});
+    const std::string id = r.path.substr(kJob.size());
+    if (IsDurableId(id))
+      loop_.Post(leased_job_cancelled{r.ticket, id});
+    else
+      Refuse(r.ticket, NotRun(reason::bad_request, "not a job id"));
     return;
   }
   if (!OnView(r) && !OnConfig(r) && !OnInternal(r))
--- a/src/core/durable_ends.cc
+++ b/src/core/durable_ends.cc
@@ -21,10 +21,10 @@
 
 namespace {
 
-// Failure guarded against: the word that an end must not be acknowledged yet is
-// lost with its stream, and the next acknowledgement covers the end. Until the
-// sidecar has confirmed the word the end counts as unsaved, and the word is
-// sent again on each stream.
+// Failure guarded against: the order not to acknowledge an end yet is lost with
+// its stream, and the next acknowledgement covers the end. Until the sidecar
+// has confirmed the order the end counts as unsaved, and the order is sent
+// again on each stream.
 void SettleEnd(entry_state& s, const unsaved_end& end, end_fate fate) {
   leased_worker& w = s.leased.workers[end.worker.value];
   if (w.sidecar_life != end.life)
@@ -55,6 +55,7 @@
 enum class stray_kind : uint8_t {
   counts,          // its task has not started again: it stands
   failure_counts,  // ... it has, but the failed run counts against its attempts
+  known,           // it has been counted, and may not be stored yet
   settled,         // nothing follows from it
   too_late,        // its task has started again, which it would have forbidden
   unknown,         // of no job known here
@@ -71,7 +72,7 @@
   const bool is_over = row.state == leased_task_state::done ||
                        job.durable.stage == durable_stage::ending;
   if (is_over && newest)
-    return stray_kind::settled;
+    return stray_kind::known;
   const bool waits = !is_over && row.state != leased_task_state::placed;
   const bool of_owner_before = IsFirstOfEpoch(job, row) &&
                                end.ref.run < row.run &&
@@ -197,6 +198,9 @@
       CountFailedRun(s, now, job, *FindTask(job, end.ref.task));
       return;
     }
+    case stray_kind::known:
+      AddUnsavedEnd(s, *FindLeasedJob(s.leased, end.ref.task.job), id, end);
+      return;
     case stray_kind::too_late:
       SettleStray(s, id, end, end_fate::lapse);
       return;
--- a/src/core/durable_ownership.cc
+++ b/src/core/durable_ownership.cc
@@ -110,8 +110,8 @@
   });
 }
 
-// A stopping entry leaves what it has not finished to others, in time for its
-// word to be written.
+// A stopping entry leaves what it has not finished to others, in time for that
+// to be written.
 void ReleaseJobs(entry_state& s, micros now) {
   durable_state& d = s.leased.durable;
   const leased_options& o = s.leased.options;
--- a/src/core/keeper_ends.cc
+++ b/src/core/keeper_ends.cc
@@ -112,7 +112,11 @@
 void BeginLapse(keeper_state& k, micros now) {
   if (k.lapsing_until.value != 0)
     return;
-  k.lapsing_until = std::max(now, k.lease_over) + k.options.bounds.margin;
+  // A process before this one may have granted a lease until just before this
+  // one met the worker.
+  const micros granted_before = k.life_since + LapsedAfter(k.options.bounds);
+  k.lapsing_until =
+      std::max({now, k.lease_over, granted_before}) + k.options.bounds.margin;
   Note(k, "lease left to lapse",
        "an end came too late, runs " + std::to_string(k.runs.size()));
 }
--- a/src/core/leased_workers.cc
+++ b/src/core/leased_workers.cc
@@ -184,6 +184,19 @@
 
 // ---- [3] Streams ------------------------------------------------------------
 
+namespace {
+
+// Failure guarded against: the order to stop a run went down with the stream.
+// The run is still this entry's, and would go on.
+bool IsBeingStopped(entry_state& s, leased_seq seq, const run_ref& ref) {
+  leased_job* job = FindLeasedJob(s.leased, seq);
+  const leased_task_row* row =
+      job == nullptr ? nullptr : FindTask(*job, ref.task);
+  return row != nullptr && row->run == ref.run && row->moving;
+}
+
+}  // namespace
+
 void GreetLeases(entry_state& s,
                  worker_id id,
                  bool same_life,
@@ -214,8 +227,11 @@
   for (const auto& [over_at, refs] : w.orphaned)
     earlier.insert(refs.begin(), refs.end());
   for (const auto& [ref, seq] : w.open) {
-    if (earlier.count(ref) == 0)
-      first.known.push_back(ref);
+    if (earlier.count(ref) != 0)
+      continue;
+    first.known.push_back(ref);
+    if (IsBeingStopped(s, seq, ref))
+      first.stops.push_back(ref);
   }
   frame.orders = std::move(first);
 }
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -217,7 +217,8 @@
   At(free + options.link_delay, [this, stream, deliver = std::move(deliver)] {
     const emulated_entry& e = entries[static_cast<size_t>(stream->entry)];
     const emulated_sidecar& s = sidecars[static_cast<size_t>(stream->sidecar)];
-    if (e.lives == stream->entry_life && s.lives == stream->sidecar_life)
+    if (e.lives == stream->entry_life && s.lives == stream->sidecar_life &&
+        !stream->reset)
       deliver();
   });
 }
@@ -435,6 +436,25 @@
   workers[static_cast<size_t>(worker)].draining = true;
 }
 
+void world::Reset(int entry, int sidecar) {
+  Log("fault",
+      "reset " + EntryAddress(entry) + " sidecar-" + std::to_string(sidecar));
+  for (const auto& stream : streams_) {
+    if (stream->entry != entry || stream->sidecar != sidecar || !stream->open)
+      continue;
+    stream->open = false;
+    stream->reset = true;
+    At(now + options.link_delay, [this, stream] {
+      entries[static_cast<size_t>(stream->entry)].inbox.emplace_back(
+          sidecar_link_lost{stream->accepted});
+      sidecars[static_cast<size_t>(stream->sidecar)].inbox.emplace_back(
+          link_lost{stream->link, stream->epoch});
+      WakeEntry(stream->entry);
+      WakeSidecar(stream->sidecar);
+    });
+  }
+}
+
 void world::Cut(int entry, int sidecar, micros time) {
   Log("fault", "cut " + EntryAddress(entry) + " sidecar-" +
                    std::to_string(sidecar) + " ms " +
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -114,6 +114,7 @@
   link_epoch epoch;
   link_id accepted;  // at the entry
   bool open = true;
+  bool reset = false;  // what was under way is lost
 };
 
 // ---- [4] Callers ------------------------------------------------------------
@@ -196,6 +197,7 @@
   void SilenceWorker(int worker, micros time);  // it runs on meanwhile
   void DrainWorker(int worker);
   void Cut(int entry, int sidecar, micros time);
+  void Reset(int entry, int sidecar);  // their stream; the next one works
   void CutFromStore(int entry, micros time);
   void StoreFault(micros time,
                   const char* name,
--- a/src/emulator/seeded_day.cc
+++ b/src/emulator/seeded_day.cc
@@ -84,7 +84,7 @@
   const int entry = static_cast<int>(w.random() % w.entries.size());
   const int worker = static_cast<int>(w.random() % w.workers.size());
   emulated_worker& at = w.workers[static_cast<size_t>(worker)];
-  switch (w.random() % 8) {
+  switch (w.random() % 9) {
     case 0:
       w.KillEntry(entry);
       return;
@@ -106,6 +106,9 @@
     case 6:
       w.SilenceWorker(worker, time);
       return;
+    case 7:
+      w.Reset(entry, worker);
+      return;
     default:
       at.late_share = at.late_share > 0 ? 0 : 0.1;
       return;
--- a/tests/durable_unit_test.cc
+++ b/tests/durable_unit_test.cc
@@ -62,8 +62,7 @@
   // Tasks of another entry on every worker keep their leases extended.
   void KeepWorkersBusy(int entry) {
     for (int i = 0; i < 3; ++i)
-      w.SubmitTo(entry,
-                 MakeDurable("busy-" + std::to_string(i), 4, 2000, 14'000));
+      w.SubmitTo(entry, MakeJob("busy-" + std::to_string(i), 4, 2000, 14'000));
     w.Pass(Millis(100));
   }
 
@@ -307,6 +306,29 @@
   RequireNothingBroken();
 }
 
+// What a user sees: a task runs twice at once. Order: an entry loses the store,
+// and its stream to a sidecar with the order to stop a run there; the stream is
+// back before others take the job over.
+TEST_CASE_METHOD(durable_jobs,
+                 "owner_cut_from_store_and_sidecar_run_is_stopped") {
+  for (int i = 0; i < 6; ++i)
+    w.SubmitTo(0, MakeDurable("job-" + std::to_string(i), 4, 2000, 9000));
+  w.Pass(Millis(300));
+  w.CutFromStore(0, Millis(20'000));
+  while (w.entries[0].core->leased.durable.owner_told)
+    w.Pass(Millis(1));
+  for (int i = 0; i < 4; ++i)
+    w.Reset(0, i);
+  w.Pass(Millis(1000));
+  size_t running = 0;
+  for (const emulated_worker& worker : w.workers)
+    running += worker.runs.size();
+  REQUIRE(running == 0);
+  w.Pass(Millis(40'000));
+  REQUIRE(w.Count(job_fate::completed) == 6);
+  RequireNothingBroken();
+}
+
 // ---- [4] The store ----------------------------------------------------------
 
 // What a user sees: a job is refused although it runs, or runs twice. Order:
@@ -368,6 +390,27 @@
   RequireNothingBroken();
 }
 
+// What a user sees: a job that can't be done is tried more often than allowed.
+// Order: one task fails for the last time, which ends the job, and others just
+// after it; the store is away, and the owner dies before the end is stored.
+TEST_CASE_METHOD(durable_jobs,
+                 "job_failed_ends_are_kept_until_that_is_stored") {
+  KeepWorkersBusy(1);
+  emulated_job job = MakeDurable("job", 4, 1000, 100);
+  job.hopeless = true;
+  w.SubmitTo(0, std::move(job));
+  w.Pass(Millis(60));
+  w.StoreFault(Millis(4000), "down",
+               [](emulated_store& store) { store.down = true; });
+  w.Pass(Millis(2500));
+  REQUIRE(HeldEnds() == 12);  // of 4 tasks, 3 attempts each
+  w.KillEntry(0);
+  w.Pass(Millis(20'000));
+  REQUIRE(w.jobs["job"].fate == job_fate::failed);
+  REQUIRE(HeldEnds() == 0);
+  RequireNothingBroken();
+}
+
 // The owner is alive, and its sidecars hear of it, but it is cut off from the
 // store: the ends that it has heard and can't store count for the next owner.
 TEST_CASE_METHOD(durable_jobs, "owner_cut_from_store_its_ends_count") {
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -549,6 +549,40 @@
 
 // Order: an announcement of the worker's last life was held up by a cut, and
 // arrives after the new life's.
+// What a user sees: a task that was done counts twice. Order: a sidecar dies,
+// and its successor is told that an end it finds came too late, so that the
+// lease must lapse first; it has granted none itself. Cause: the lease that the
+// dead one granted still holds.
+TEST_CASE_METHOD(one_keeper,
+                 "end_too_late_waits_for_the_lease_granted_before") {
+  k.options.keeps_ends = true;
+  const auto seen_in_next_look = [&] {
+    k.actions.clear();
+    Look({});
+    now = now + Millis(20);
+    TickKeeper(k, now);
+    const std::vector<call_look> looks = Calls<call_look>();
+    return looks.empty() ? uint64_t{0} : looks.back().seen;
+  };
+  look_answered found;
+  found.life = "life";
+  found.answer = worker_answer::ok;
+  found.clock_ms = ToMillis(now);
+  found.ended.push_back({1, Ref("job", 1), run_end_kind::done});
+  TakeKeeperEvent(k, now, found);
+  TickKeeper(k, now);
+  lease_orders orders;
+  orders.echo = now.value;
+  orders.settled.push_back({Ref("job", 1), end_fate::lapse});
+  TakeOrders(k, now, kOwner, orders);
+  now = now + Millis(100);
+  TickKeeper(k, now);
+  REQUIRE(seen_in_next_look() == 0);
+  now = now + Millis(900);
+  TickKeeper(k, now);
+  REQUIRE(seen_in_next_look() == 1);
+}
+
 TEST_CASE_METHOD(one_keeper, "announcement_of_a_past_life_is_ignored") {
   leased_worker_announced second = Announcement("second");
   TakeKeeperEvent(k, now, second);
