--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -93,7 +93,7 @@
 // ---- [2] Processes ----------------------------------------------------------
 
 template <typename Process>
-void world::TickWhenIdle(Process& process, action wake) {
+void world::TickWhenIdle(Process& process, const action& wake) {
   auto idle = std::make_shared<action>();
   *idle = [this, &process, life = process.lives, wake, idle] {
     if (process.lives != life)
@@ -152,7 +152,7 @@
 
 // An entry or a sidecar ticks soon, once, whatever arrives until then.
 template <typename Process>
-void world::Wake(Process& process, action tick) {
+void world::Wake(Process& process, const action& tick) {
   if (process.tick_due || process.state != process_state::up)
     return;
   process.tick_due = true;
@@ -376,7 +376,7 @@
 }
 
 template <typename Process>
-void world::Freeze(Process& process, micros time, action wake) {
+void world::Freeze(Process& process, micros time, const action& wake) {
   if (process.state != process_state::up)
     return;
   process.state = process_state::frozen;
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -248,11 +248,11 @@
   void TickEntry(int entry);
   void TickSidecar(int sidecar);
   template <typename Process>
-  void TickWhenIdle(Process& process, action wake);
+  void TickWhenIdle(Process& process, const action& wake);
   template <typename Process>
-  void Wake(Process& process, action tick);
+  void Wake(Process& process, const action& tick);
   template <typename Process>
-  void Freeze(Process& process, micros time, action wake);
+  void Freeze(Process& process, micros time, const action& wake);
   void WakeEntry(int entry);
   void WakeSidecar(int sidecar);
   void Act(int entry, entry_action& action);
