--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -209,6 +209,7 @@
   std::set<leased_seq> overdue;  // ... those that are of no use any more, but
                                  // accepted: they get spare room only
   micros last_overdue{0};        // when they were last looked at
+  micros last_durable{0};        // when a durable job last came
   std::set<std::pair<micros, leased_seq>> deadlines;
   std::vector<leased_worker> workers;               // by worker_id
   std::map<std::string, queue_estimate> estimates;  // by queue
--- a/src/core/durable_jobs.cc
+++ b/src/core/durable_jobs.cc
@@ -130,6 +130,7 @@
                       const queue_config& queue) {
   leased_state& l = s.leased;
   leased_job_request& r = event.request;
+  l.last_durable = now;
   if (const auto why = WhyNot(s, now)) {
     RefuseTicket(s, event.ticket, r.id, *why);
     return;
--- a/src/core/leased_placing.cc
+++ b/src/core/leased_placing.cc
@@ -195,18 +195,21 @@
   }
 }
 
-// This entry's part of the room that overdue jobs may use: all entries that own
-// jobs see the same room free, and would together take far more.
-int64_t SpareCpu(const leased_state& l) {
+// Room that this entry's overdue jobs may use now. All entries that own jobs
+// see the same room free, and would together take far more than is spare: each
+// takes its part. Once no new jobs come it takes all. Failure guarded against:
+// after the traffic, jobs left on one entry wait for half a minute beside idle
+// workers.
+int64_t SpareCpu(const leased_state& l, bool traffic_is_over) {
   int64_t spare = 0;
   for (const leased_worker& w : l.workers) {
+    const auto kept = static_cast<int64_t>(
+        kSpareShare * static_cast<double>(w.info.capacity.cpu));
     if (w.takes_work)
-      spare += std::max<int64_t>(
-          0, FreeNow(w).cpu -
-                 static_cast<int64_t>(
-                     kSpareShare * static_cast<double>(w.info.capacity.cpu)));
+      spare += std::max<int64_t>(0, FreeNow(w).cpu - kept);
   }
-  return spare / static_cast<int64_t>(l.durable.journal.writers);
+  const size_t parts = traffic_is_over ? 1 : l.durable.journal.writers;
+  return spare / static_cast<int64_t>(parts);
 }
 
 // Failure guarded against: after a burst, jobs that were accepted and are of no
@@ -217,14 +220,18 @@
 // which is looked for less often than each tick.
 void PlaceOverdue(entry_state& s, micros now) {
   constexpr micros kEvery = Millis(50);
+  constexpr micros kOftenEvery = Millis(10);   // a tenth of a short task
+  constexpr micros kOverAfter = Millis(1000);  // without a new job
   leased_state& l = s.leased;
-  if (now < l.settle_until || now - l.last_overdue < kEvery)
+  const bool traffic_is_over = now - l.last_durable > kOverAfter;
+  if (now < l.settle_until ||
+      now - l.last_overdue < (traffic_is_over ? kOftenEvery : kEvery))
     return;
   l.last_overdue = now;
   FindOverdue(l, now);
   if (l.overdue.empty())
     return;
-  int64_t spare = SpareCpu(l);
+  int64_t spare = SpareCpu(l, traffic_is_over);
   const std::vector<leased_seq> order(l.overdue.begin(), l.overdue.end());
   for (leased_seq seq : order) {
     leased_job& job = l.jobs.at(seq);
--- a/tests/durable_unit_test.cc
+++ b/tests/durable_unit_test.cc
@@ -528,6 +528,23 @@
   RequireNothingBroken();
 }
 
+// What a user sees: a booking of the burst is served half a minute after it,
+// with the workers idle. Cause: an entry takes for its jobs of no use only its
+// part of the spare room, and seldom, as if the others wanted theirs. Of 600
+// jobs 448 were done 8 s after the traffic; once it looks often and takes all,
+// 509.
+TEST_CASE_METHOD(durable_jobs, "traffic_over_backlog_is_served_sooner") {
+  for (int i = 0; i < 600; ++i) {
+    w.SubmitTo(0, MakeDurable("job-" + std::to_string(i), 2, 3000, 100));
+    w.Pass(micros{2000});
+  }
+  w.Pass(Millis(8000));
+  REQUIRE(w.Count(job_fate::completed) > 490);
+  w.Pass(Millis(8000));
+  REQUIRE(w.Count(job_fate::completed) == 600);
+  RequireNothingBroken();
+}
+
 // ---- [8] Seeded runs --------------------------------------------------------
 
 TEST_CASE("durable_jobs_seeded_faults_nothing_broken") {
