--- a/src/core/leased_placing.cc
+++ b/src/core/leased_placing.cc
@@ -224,7 +224,7 @@
   constexpr micros kOverAfter = Millis(1000);  // without a new job
   leased_state& l = s.leased;
   const bool traffic_is_over = now - l.last_durable > kOverAfter;
-  if (now < l.settle_until ||
+  if (l.durable.jobs == 0 || now < l.settle_until ||
       now - l.last_overdue < (traffic_is_over ? kOftenEvery : kEvery))
     return;
   l.last_overdue = now;
