--- a/include/cassiaferry/journal.h
+++ b/include/cassiaferry/journal.h
@@ -61,9 +61,8 @@
 
 struct journal_result {
   journal_op_id id;
-  bool done = false;              // false: a condition did not hold
-  uint64_t version = 0;           // done: of the rows that were set
-  std::vector<stored_row> found;  // not done: what stands in its conditions
+  bool done = false;     // false: a condition did not hold
+  uint64_t version = 0;  // done: of the rows that were set
 };
 
 // ---- [3] State --------------------------------------------------------------
--- a/src/apps/entry_http.cc
+++ b/src/apps/entry_http.cc
@@ -20,6 +20,8 @@
 
 namespace {
 
+constexpr std::string_view kJobs = "/v1/jobs/";  // and a job's id
+
 // ---- [1] Replies ------------------------------------------------------------
 
 failure NotRun(reason why, std::string message) {
@@ -146,9 +148,8 @@
       Refuse(r.ticket, NotRun(reason::not_found, "jobs are sent with POST"));
     return;
   }
-  constexpr std::string_view kJob = "/v1/jobs/";
-  if (r.method == "DELETE" && r.path.starts_with(kJob) && HasLeasedJobs()) {
-    const std::string id = r.path.substr(kJob.size());
+  if (r.method == "DELETE" && r.path.starts_with(kJobs) && HasLeasedJobs()) {
+    const std::string id = r.path.substr(kJobs.size());
     if (IsDurableId(id))
       loop_.Post(leased_job_cancelled{r.ticket, id});
     else
@@ -172,7 +173,6 @@
 }
 
 bool entry_app::OnView(const http_request& r) {
-  constexpr std::string_view kJobs = "/v1/jobs/";
   if (r.method != "GET")
     return false;
   if (r.path == "/healthz") {
--- a/src/core/journal.cc
+++ b/src/core/journal.cc
@@ -127,7 +127,7 @@
   j.own_version = removed ? 0 : version;
   j.leased_until = removed ? micros{0} : t.first_sent + j.options.lease;
   for (const journal_op& op : t.ops)
-    j.results.push_back({op.id, true, version, {}});
+    j.results.push_back({op.id, true, version});
 }
 
 void PutBack(journal_state& j, std::vector<journal_op>& ops) {
@@ -166,12 +166,7 @@
       again.push_back(std::move(op));
       continue;
     }
-    journal_result result{op.id, false, 0, {}};
-    for (const row_condition& c : op.rows.expected) {
-      if (const stored_row* row = Find(rows, c.row))
-        result.found.push_back(*row);
-    }
-    j.results.push_back(std::move(result));
+    j.results.push_back({op.id, false, 0});
   }
   j.open.reset();
   PutBack(j, again);
