Placing split by subject; Retry-After from the backlog's drain, spread

leased_placing.cc becomes leased_choice.cc (which worker), leased_placing.cc (what waits) and leased_tick.cc (refusals, stops, the tick). A refusal's log line tells what it was decided by: jobs waiting, most free room, workers that could take a task. Retry-After was 500 ms and half a second per job waiting for each worker; now it is the time in which the waiting work is done, 0.3 to 10 s, and up to half as long again, so that callers don't come back together (test).

--- a/src/apps/emulate_main.cc
+++ b/src/apps/emulate_main.cc
@@ -23,6 +23,7 @@
 DEFINE_int32(entries, 4, "entries");
 DEFINE_int32(workers, 11, "workers");
 DEFINE_int32(domains, 1, "failure domains of entries and workers");
+DEFINE_int32(slow, 0, "workers on which all takes 5.6 times as long");
 DEFINE_int32(hanging, 0, "workers on which all stands still");
 DEFINE_uint64(days, 0, "play so many seeded days of faults instead");
 DEFINE_uint64(replay, 0, "play the day of this seed, and print what happens");
@@ -52,6 +53,7 @@
 };
 constexpr int64_t kCpu = 3100;  // thousandths of a core, of each task
 constexpr room kWorkerRoom{36'000, 131'072, 0};
+constexpr double kSlowTimes = 5.6;
 constexpr micros kWarmUp = Millis(2000);
 constexpr micros kAfter = Millis(8000);
 
@@ -170,6 +172,9 @@
   w.Pass(kWarmUp);
   for (int i = 0; i < FLAGS_hanging; ++i)
     w.workers[static_cast<size_t>(i)].hangs = true;
+  for (int i = 0; i < FLAGS_slow; ++i)
+    w.workers[w.workers.size() - 1 - static_cast<size_t>(i)].slowness =
+        kSlowTimes;
   for (emulated_worker& worker : w.workers)
     worker.late_share = FLAGS_late_orders;
   w.cpu_used_us = 0;
--- a/src/core/leased_admission.cc
+++ b/src/core/leased_admission.cc
@@ -77,8 +77,6 @@
   s.arrivals_measured = now;
 }
 
-// ---- [2] Refusals -----------------------------------------------------------
-
 namespace {
 
 // Work is done at the rate of the room in use: a core does a core-second a
@@ -92,6 +90,22 @@
   return rate;
 }
 
+}  // namespace
+
+double DrainMs(const leased_state& s, int64_t free_cpu) {
+  double work = 0;  // thousandths of a core times microseconds
+  for (leased_seq seq : s.waiting) {
+    const leased_job& job = s.jobs.at(seq);
+    work += static_cast<double>(WaitingRoom(job)) *
+            static_cast<double>(job.expected.value);
+  }
+  return work / std::max(1.0, WorkRate(s, free_cpu)) / 1000;
+}
+
+// ---- [2] Refusals -----------------------------------------------------------
+
+namespace {
+
 bool MayRefuse(const leased_job& job) {
   return !job.started && job.durable.stage == durable_stage::none;
 }
--- a/src/core/leased_admission.h
+++ b/src/core/leased_admission.h
@@ -24,6 +24,9 @@
 // A job of the queue has taken so long from its start.
 void LearnTime(leased_state& s, const leased_job& job, micros took);
 
+// How long what waits takes at the rate at which work is done, milliseconds.
+double DrainMs(const leased_state& s, int64_t free_cpu);
+
 void NoteArrival(leased_state& s, const leased_job& job);
 // Call each tick.
 void MeasureArrivals(leased_state& s, micros now);
--- /dev/null
+++ b/src/core/leased_choice.cc
@@ -0,0 +1,161 @@
+// Which worker a task of a leased job goes to.
+//
+// Contents
+//   [1] Cost
+//   [2] Workers that may take a task
+//   [3] Choice
+
+#include <algorithm>
+
+#include "cassiaferry/leased_jobs.h"
+#include "entry_systems.h"
+#include "leased_systems.h"
+
+namespace cassiaferry {
+
+namespace {
+
+// Workers compared for a task; more draws all entries to the same one.
+constexpr size_t kChoices = 6;
+
+// ---- [1] Cost ---------------------------------------------------------------
+
+// What is asked of a worker: room for tasks alike, the more the better.
+struct wanted_room {
+  room need;  // of each task
+  uint32_t tasks = 1;
+};
+
+uint32_t TasksThatFit(const leased_worker& w, const wanted_room& wanted) {
+  const int64_t by_cpu = FreeNow(w).cpu / std::max<int64_t>(1, wanted.need.cpu);
+  return static_cast<uint32_t>(std::clamp<int64_t>(by_cpu, 1, wanted.tasks));
+}
+
+// Less is better. Free room spreads the load; one worker for all of a step's
+// tasks spares copies of the payload; a worker that is slow or fails much is
+// taken when others are full, and so is one in another failure domain: what
+// travels between domains is dear, and slower. What was heard long ago is less
+// believed: workers that this entry uses tell it of each end, others only with
+// their heartbeats, and meanwhile somebody else has taken the room. With twelve
+// entries at 0.8 of the load 20 instead of 45 of 100 starts are refused
+// (cassiaferry-emulate).
+double Cost(const leased_worker& w,
+            const wanted_room& wanted,
+            bool is_far,
+            double usual_pace,
+            micros now) {
+  constexpr double kFailingWeight = 4;
+  constexpr double kPartWeight = 1;
+  constexpr double kAgeWeight = 1;
+  constexpr micros kOldWord = Millis(130);  // about a heartbeat
+  constexpr double kFarWeight = 1;
+  const room left = FreeNow(w) - wanted.need;
+  const double used =
+      1 - static_cast<double>(left.cpu) /
+              static_cast<double>(std::max<int64_t>(1, w.info.capacity.cpu));
+  const double slowness = usual_pace / std::max(0.05, w.pace) - 1;
+  const double missing =
+      1 - static_cast<double>(TasksThatFit(w, wanted)) / wanted.tasks;
+  const double age = std::min(
+      1.0, static_cast<double>((now - w.heard).value) / kOldWord.value);
+  const double sick =
+      std::clamp(slowness, 0.0, 4.0) + w.failing * kFailingWeight;
+  // Whether it is well again shows only if it gets something to do.
+  const bool probe_due =
+      w.probe_pause.value != 0 && w.open.empty() && now >= w.probe_after;
+  return used + (probe_due ? 0 : age * kAgeWeight + sick) +
+         missing * kPartWeight + (is_far ? kFarWeight : 0);
+}
+
+// Away from its data a task takes longer, and may still be sooner done there
+// than after a wait: other workers are taken when those near it are full.
+void KeepNear(const entry_state& s,
+              const leased_step& step,
+              std::vector<worker_id>& fitting) {
+  const auto is_far = [&](worker_id id) {
+    return !HasLabel(s.leased.workers[id.value], step.near);
+  };
+  if (!std::all_of(fitting.begin(), fitting.end(), is_far))
+    std::erase_if(fitting, is_far);
+}
+
+// ---- [2] Workers that may take a task ---------------------------------------
+
+uint32_t TasksOfStepOn(const leased_job& job, uint32_t step, worker_id id) {
+  return static_cast<uint32_t>(std::count_if(
+      job.tasks.begin(), job.tasks.end(), [&](const leased_task_row& row) {
+        return row.state == leased_task_state::placed &&
+               row.task.step == step && row.worker == id;
+      }));
+}
+
+}  // namespace
+
+bool MayHoldOneMore(const entry_state& s,
+                    worker_id id,
+                    const leased_job& job,
+                    uint32_t step) {
+  const leased_step& needs = job.steps[step];
+  return MayTake(s, id, job, needs) &&
+         s.leased.workers[id.value].avoid_until <= s.leased.last_tick &&
+         (needs.most_per_worker == 0 ||
+          TasksOfStepOn(job, step, id) < needs.most_per_worker);
+}
+
+// ---- [3] Choice -------------------------------------------------------------
+
+namespace {
+
+// In another failure domain than this entry. Unknown ones are as good.
+bool IsFar(const entry_state& s, worker_id id) {
+  const std::string& domain = s.workers[id.value].failure_domain;
+  return !domain.empty() && domain != s.options.failure_domain;
+}
+
+// Up to `kChoices` of the workers, drawn at random, those of this entry's own
+// failure domain first.
+std::vector<worker_id> DrawChoices(entry_state& s,
+                                   std::vector<worker_id> fitting) {
+  const auto far = std::partition(fitting.begin(), fitting.end(),
+                                  [&](worker_id id) { return !IsFar(s, id); });
+  auto near_left = static_cast<size_t>(far - fitting.begin());
+  std::vector<worker_id> choices;
+  while (choices.size() < kChoices && !fitting.empty()) {
+    const size_t among = near_left > 0 ? near_left : fitting.size();
+    const size_t pick = s.random() % among;
+    choices.push_back(fitting[pick]);
+    fitting.erase(fitting.begin() + static_cast<ptrdiff_t>(pick));
+    near_left -= near_left > 0 ? 1 : 0;
+  }
+  return choices;
+}
+
+}  // namespace
+
+std::optional<worker_id> ChooseWorker(entry_state& s,
+                                      micros now,
+                                      const leased_job& job,
+                                      uint32_t step,
+                                      uint32_t tasks) {
+  const leased_step& needs = job.steps[step];
+  std::vector<worker_id> fitting;
+  for (uint32_t i = 0; i < s.leased.workers.size(); ++i) {
+    if (MayHoldOneMore(s, worker_id{i}, job, step))
+      fitting.push_back(worker_id{i});
+  }
+  KeepNear(s, needs, fitting);
+  std::optional<worker_id> best;
+  double best_cost = 0;
+  for (worker_id id : DrawChoices(s, std::move(fitting))) {
+    const double cost =
+        Cost(s.leased.workers[id.value], {needs.need, tasks}, IsFar(s, id),
+             s.leased.usual_pace[job.queue.upstream], now);
+    if (!best || cost < best_cost) {
+      best = id;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace cassiaferry
--- a/src/core/leased_systems.h
+++ b/src/core/leased_systems.h
@@ -5,11 +5,13 @@
 //   [2] Answers
 //   [3] Ends
 //   [4] Workers
-//   [5] Durable jobs
+//   [5] Choosing and placing
+//   [6] Durable jobs
 
 #ifndef CASSIAFERRY_SRC_CORE_LEASED_SYSTEMS_H_
 #define CASSIAFERRY_SRC_CORE_LEASED_SYSTEMS_H_
 
+#include <optional>
 #include <string>
 
 #include "cassiaferry/entry.h"
@@ -110,7 +112,23 @@
 // Runs on workers that have been silent for long enough are over.
 void EndLostRuns(entry_state& s, micros now);
 
-// ---- [5] Durable jobs (durable_jobs.cc, durable_adoption.cc) ----------------
+// ---- [5] Choosing and placing (leased_choice.cc, leased_placing.cc) ---------
+
+// The worker may have one more task of the job's step.
+bool MayHoldOneMore(const entry_state& s,
+                    worker_id id,
+                    const leased_job& job,
+                    uint32_t step);
+// The best of some that fit, with room for most of so many tasks alike.
+std::optional<worker_id> ChooseWorker(entry_state& s,
+                                      micros now,
+                                      const leased_job& job,
+                                      uint32_t step,
+                                      uint32_t tasks);
+void PlaceWaiting(entry_state& s, micros now);
+void PlaceOverdue(entry_state& s, micros now);
+
+// ---- [6] Durable jobs (durable_jobs.cc, durable_adoption.cc) ----------------
 
 void SubmitDurableJob(entry_state& s,
                       micros now,
--- /dev/null
+++ b/src/core/leased_tick.cc
@@ -0,0 +1,179 @@
+// What is refused for want of room, stops and pauses, and the tick of leased
+// jobs.
+//
+// Contents
+//   [1] Refusals
+//   [2] Stops and pauses
+//   [3] Tick
+
+#include <algorithm>
+#include <random>
+
+#include "cassiaferry/leased_jobs.h"
+#include "entry_systems.h"
+#include "leased_admission.h"
+#include "leased_order.h"
+#include "leased_systems.h"
+
+namespace cassiaferry {
+
+namespace {
+
+// ---- [1] Refusals -----------------------------------------------------------
+
+// Failure guarded against: after an outage workers come back one by one, and by
+// the few that are there first all jobs would look hopeless. While their room
+// grows, and this long after, nothing is refused by how fast work is done.
+constexpr micros kSettledAfterGrowth = Millis(1000);
+constexpr int64_t kUnknownRate = int64_t{1} << 50;
+
+void NoteGrowth(entry_state& s, micros now) {
+  int64_t cpu = 0;
+  for (const leased_worker& w : s.leased.workers)
+    cpu += w.takes_work ? w.info.capacity.cpu : 0;
+  if (cpu > s.leased.cpu_taking)
+    s.leased.grown_at = now;
+  s.leased.cpu_taking = cpu;
+}
+
+int64_t FreeCpu(const entry_state& s) {
+  int64_t free = 0;
+  for (const leased_worker& w : s.leased.workers) {
+    if (w.takes_work)
+      free += std::max<int64_t>(0, FreeNow(w).cpu);
+  }
+  return free;
+}
+
+// When the work that waits here is done, as fast as work is done now, and up to
+// half as long again: callers that were refused together don't come back
+// together.
+int64_t RetryAfterMs(entry_state& s) {
+  constexpr double kLeastMs = 300;    // sooner the same burst is still there
+  constexpr double kMostMs = 10'000;  // later callers give up
+  const double drain_ms = DrainMs(s.leased, FreeCpu(s));
+  const double spread =
+      std::uniform_real_distribution<double>(1, 1.5)(s.random);
+  return static_cast<int64_t>(std::clamp(drain_ms, kLeastMs, kMostMs) * spread);
+}
+
+// What the refusal was decided by, for the log.
+std::string RoomText(const entry_state& s, const leased_job& job) {
+  int64_t most = 0;
+  uint32_t takers = 0;
+  for (uint32_t i = 0; i < s.leased.workers.size(); ++i) {
+    const leased_worker& w = s.leased.workers[i];
+    if (!w.takes_work)
+      continue;
+    most = std::max(most, FreeNow(w).cpu);
+    takers += MayHoldOneMore(s, worker_id{i}, job, 0) ? 1 : 0;
+  }
+  return "waiting " + std::to_string(s.leased.waiting.size()) +
+         ", least cpu needed " + std::to_string(job.least_cpu) +
+         ", most free on a worker " + std::to_string(most) +
+         ", workers that could take a task " + std::to_string(takers);
+}
+
+// What can't be of use any more, and has not run, is refused at once: the
+// caller learns that nothing ran, and when to come back. By the work that
+// stands before a job most such refusals come long before its time is over.
+void RefuseHopeless(entry_state& s, micros now) {
+  constexpr micros kEvery = Millis(10);  // ranking takes 0.1 ms for 200 jobs
+  if (s.leased.waiting.empty() || now - s.leased.last_refusal < kEvery)
+    return;
+  s.leased.last_refusal = now;
+  const std::vector<leased_seq> order = ServeOrder(s.leased, now);
+  const bool settled = now - s.leased.grown_at > kSettledAfterGrowth;
+  // Without a rate, only what no room could save is hopeless.
+  const int64_t free = settled ? FreeCpu(s) : kUnknownRate;
+  for (leased_seq seq : Hopeless(s.leased, order, free, now)) {
+    leased_job& job = s.leased.jobs[seq];
+    Conclude(s, now, job, leased_outcome::refused,
+             {verdict::not_run, reason::deadline_unreachable,
+              "no room in time, " + RoomText(s, job), RetryAfterMs(s)});
+  }
+}
+
+void CheckLeasedDeadlines(entry_state& s, micros now) {
+  while (!s.leased.deadlines.empty() &&
+         s.leased.deadlines.begin()->first <= now) {
+    leased_job& job = s.leased.jobs[s.leased.deadlines.begin()->second];
+    if (job.durable.stage != durable_stage::none) {
+      MissDurableDeadline(s, now, job);
+      continue;
+    }
+    const verdict what = job.started ? verdict::may_have_run : verdict::not_run;
+    Conclude(s, now, job, leased_outcome::refused,
+             {what, reason::deadline, "the caller's deadline passed",
+              job.started ? 0 : RetryAfterMs(s)});
+  }
+}
+
+// ---- [2] Stops and pauses ---------------------------------------------------
+
+// Workers that are full tell of freed room only to those that wait for some.
+void AskForRoom(entry_state& s) {
+  int64_t wanted = 0;
+  for (leased_seq seq : s.leased.waiting) {
+    const int64_t least = s.leased.jobs.at(seq).least_cpu;
+    wanted = wanted == 0 ? least : std::min(wanted, least);
+  }
+  if (wanted > 0 && s.leased.wanted_cpu == 0) {
+    for (worker_row& w : s.workers)
+      w.must_send = w.must_send || w.state == worker_link::up;
+  }
+  s.leased.wanted_cpu = wanted;
+}
+
+// A stop has an end: what still runs then is broken off, and its callers hear
+// so before the process goes.
+void CloseJobs(entry_state& s, micros now) {
+  const leased_options& o = s.leased.options;
+  if (!s.draining || now - s.drain_since < o.drain_accept + o.drain_close)
+    return;
+  std::vector<leased_seq> open;
+  for (const auto& [seq, job] : s.leased.jobs) {
+    if (job.durable.stage == durable_stage::none)
+      open.push_back(seq);
+  }
+  for (leased_seq seq : open) {
+    leased_job& job = s.leased.jobs.at(seq);
+    const verdict what = job.started ? verdict::may_have_run : verdict::not_run;
+    Conclude(s, now, job, leased_outcome::refused,
+             {what, reason::draining, "this entry stops", 1000});
+  }
+}
+
+// Failure guarded against: this process was frozen, and wakes with jobs whose
+// callers have gone elsewhere meanwhile. Nothing starts until what lies in its
+// sockets, among it the ends of those connections, has been read.
+void NotePause(leased_state& s, micros now) {
+  if (s.last_tick.value != 0 && now - s.last_tick > s.options.pause) {
+    ForgetInterval(s.link, now);
+    s.settle_until = now + s.options.settle;
+  }
+  s.last_tick = now;
+}
+
+}  // namespace
+
+// ---- [3] Tick ---------------------------------------------------------------
+
+void TickLeasedJobs(entry_state& s, micros now) {
+  if (!s.leased.options.enabled)
+    return;
+  NotePause(s.leased, now);
+  TickUplink(s.leased.link, now);
+  EndLostRuns(s, now);
+  NoteGrowth(s, now);
+  MeasureArrivals(s.leased, now);
+  CheckLeasedDeadlines(s, now);
+  CloseJobs(s, now);
+  PlaceWaiting(s, now);
+  PlaceOverdue(s, now);
+  RefuseHopeless(s, now);
+  AskForRoom(s);
+  TickDurableJobs(s, now);
+}
+
+}  // namespace cassiaferry
--- a/src/emulator/caller_world.cc
+++ b/src/emulator/caller_world.cc
@@ -124,6 +124,7 @@
       Unanswered(id, answer.ticket.value);
       return;
     }
+    retry_after_ms.push_back(answer.why.retry_after_ms);
     // Earlier sends may have run: only the first one's refusal is a promise.
     job.fate = job.sends == 1 ? job_fate::refused : job_fate::given_up;
     if (job.sends == 1 && job.started)
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -241,6 +241,7 @@
   std::function<void(const std::string&)> log;
   emulated_store store;
   std::map<leased_task, task_history> histories;  // of durable jobs
+  std::vector<int64_t> retry_after_ms;            // told with refusals
   double cpu_used_us =
       0;  // thousandths of a core, over all workers, integrated
 
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -888,5 +888,26 @@
   CHECK(sick.violations == 0);
 }
 
+// What a user sees: callers that were refused in a burst come back all at once,
+// and are refused again. They are told when the work that waits is done, spread
+// over half as long again, and longer the more there is.
+TEST_CASE_METHOD(leased_jobs, "refused_told_when_backlog_drains_spread") {
+  const auto refused = [&](int count) {
+    w.retry_after_ms.clear();
+    SubmitMany(count, 4, 4000, 200);
+    w.Pass(Millis(5000));
+    REQUIRE(w.retry_after_ms.size() > 20);
+    return w.retry_after_ms;
+  };
+  std::vector<int64_t> few = refused(60);
+  std::vector<int64_t> many = refused(600);
+  std::sort(few.begin(), few.end());
+  std::sort(many.begin(), many.end());
+  CHECK(few.front() >= 300);
+  CHECK(std::unique(few.begin(), few.end()) - few.begin() > 10);
+  CHECK(many[many.size() / 2] > 2 * few[few.size() / 2]);
+  CHECK(many.back() <= 15'000);
+}
+
 }  // namespace
 }  // namespace cassiaferry::emulator
