Odd records on the wire: they name nobody to use, and end no process

Cause: members of rows and reports were read by calls of the JSON library that throw on another type. A directory row with a number for an address, or an owner's row with another type, ended a sidecar or an entry; a report with a state that is not known passed for a worker that is ready, and took the place of the one beside the sidecar. The directory's row has one reader and one writer (its table's name stood twice).

Tests (odd_records_unit_test): a table of odd texts for each reader, and 20,000 sound records with bytes changed at random.

--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -13,6 +13,7 @@
 #include "../../platform/operator_config.h"
 #include "../../platform/store.h"
 #include "app.h"
+#include "cassiaferry/directory.h"
 #include "entry_app.h"
 #include "event_log.h"
 
@@ -27,7 +28,6 @@
 // Tickets of callers' requests, apart from those of the product's own server.
 constexpr uint64_t kFirstCallerTicket = uint64_t{1} << 40;
 constexpr uint64_t kFirstReadyTicket = uint64_t{1} << 41;
-constexpr char kDirectoryTable[] = "entries";
 // A change must be in force everywhere within 2 s of its writing; a feed that
 // was cut is given up after this and half a second more.
 constexpr int64_t kConfigFeedWaitMs = 1000;
@@ -180,9 +180,9 @@
 // Sidecars find entries by these rows.
 void entry_app::PublishAddress() {
   publishing_ = true;
-  const json value = {{"link", settings_.advertise_link}};
   row_transaction put;
-  put.sets.push_back({kDirectoryTable, settings_.name, value.dump()});
+  put.sets.push_back({kDirectoryTable, settings_.name,
+                      WriteDirectoryRow(settings_.advertise_link)});
   store_.transact(put, [this](const rows_reply& reply) {
     loop_.Call([this, ok = reply.status == store_status::ok] {
       publishing_ = false;
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -21,6 +21,7 @@
 #include "../net/link_client.h"
 #include "../net/row_watch.h"
 #include "app.h"
+#include "cassiaferry/directory.h"
 #include "cassiaferry/sidecar.h"
 #include "event_log.h"
 
@@ -61,7 +62,6 @@
     {"memory_mb", field_kind::integer, 1, 100'000'000},
 };
 
-constexpr char kDirectoryTable[] = "entries";
 // To the one worker, on kept connections: a look, and orders beside it.
 constexpr long kWorkerConnections = 6;
 constexpr int64_t kDirectoryFeedWaitMs = 10'000;
@@ -282,6 +282,8 @@
     return false;
   if (event)
     loop_.Post(*event);
+  else
+    LogEvent("sidecar", "announcement unreadable", {{"why", error}});
   Reply(r.ticket, event ? 200 : 400,
         event ? std::string("{}") : ErrorBody(error));
   return true;
@@ -364,10 +366,14 @@
 }
 
 void sidecar_app::TakeDirectoryRow(const stored_row& row) {
-  const json j = json::parse(row.value, nullptr, false);
-  if (row.deleted || !j.is_object())
+  if (row.deleted)
     return;
-  loop_.Post(entries_found{{j.value("link", "")}});
+  const std::optional<std::string> link = ReadDirectoryRow(row.value);
+  if (link)
+    loop_.Post(entries_found{{*link}});
+  else
+    LogEvent("sidecar", "entry's row unreadable",
+             {{"key", row.key}, {"version", row.version}});
 }
 
 void sidecar_app::WatchDirectory(const std::string& store) {
--- a/src/core/durable_rows.cc
+++ b/src/core/durable_rows.cc
@@ -8,6 +8,8 @@
 
 #include "durable_rows.h"
 
+#include "cassiaferry/json_fields.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -17,6 +19,8 @@
 
 namespace {
 
+constexpr uint64_t kMostTasks = 100'000;  // of a job; more are not accepted
+
 std::string Dump(const json& j) {
   return j.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -105,17 +109,17 @@
 }
 
 std::string OwnerOf(const std::string& row) {
-  return Parse(row).value("owner", "");
+  return TextField(Parse(row), "owner");
 }
 
 uint32_t EpochOf(const std::string& job_row) {
-  return Parse(job_row).value("epoch", 1u);
+  return NumberField(Parse(job_row), "epoch", 1u);
 }
 
 std::string WithOwner(const std::string& job_row, const std::string& owner) {
   json j = Parse(job_row);
   j["owner"] = owner;
-  j["epoch"] = j.value("epoch", 1u) + 1;
+  j["epoch"] = NumberField(j, "epoch", 1u) + 1;
   return Dump(j);
 }
 
@@ -128,8 +132,13 @@
     job.durable.epoch = j.at("epoch");
     job.queue = ReadQueue(j.at("queue"));
     job.payload = j.at("payload");
-    for (const json& step : j.at("steps"))
+    uint64_t tasks = 0;
+    for (const json& step : j.at("steps")) {
       job.steps.push_back(ReadStep(step));
+      tasks += job.steps.back().count;
+    }
+    if (tasks == 0 || tasks > kMostTasks)
+      return std::nullopt;
     return job;
   } catch (const json::exception&) {
     return std::nullopt;
@@ -159,25 +168,43 @@
   return Dump(j);
 }
 
+namespace {
+
+const json& ListField(const json& j, const char* name, const json& none) {
+  const json* field = FindField(j, name);
+  return field != nullptr && field->is_array() ? *field : none;
+}
+
+size_t IndexIn(const json& j) {
+  return j.is_number_unsigned() ? j.get<size_t>() : SIZE_MAX;
+}
+
+// The index of a task, and a number for it.
+bool IsPairIn(const json& j, size_t tasks) {
+  return j.is_array() && j.size() == 2 && IndexIn(j[0]) < tasks &&
+         j[1].is_number_unsigned();
+}
+
+}  // namespace
+
 void ReadProgressRow(const std::string& progress_row, leased_job& job) {
   const json j = Parse(progress_row);
-  for (const json& index : j.value("done", json::array())) {
-    const auto i = index.get<size_t>();
+  const json none = json::array();
+  for (const json& index : ListField(j, "done", none)) {
+    const size_t i = IndexIn(index);
     if (i >= job.tasks.size() || job.tasks[i].state == leased_task_state::done)
       continue;
     job.tasks[i].state = leased_task_state::done;
     ++job.done;
     --job.step_left[job.tasks[i].task.step];
   }
-  for (const json& pair : j.value("failed", json::array())) {
-    const auto i = pair.at(0).get<size_t>();
-    if (i < job.tasks.size())
-      job.tasks[i].failed = pair.at(1);
+  for (const json& pair : ListField(j, "failed", none)) {
+    if (IsPairIn(pair, job.tasks.size()))
+      job.tasks[IndexIn(pair[0])].failed = pair[1].get<uint32_t>();
   }
-  for (const json& pair : j.value("given_up", json::array())) {
-    const auto i = pair.at(0).get<size_t>();
-    if (i < job.tasks.size())
-      job.tasks[i].given_up = pair.at(1);
+  for (const json& pair : ListField(j, "given_up", none)) {
+    if (IsPairIn(pair, job.tasks.size()))
+      job.tasks[IndexIn(pair[0])].given_up = pair[1].get<uint32_t>();
   }
 }
 
@@ -193,17 +220,17 @@
 }
 
 std::string SweeperOf(const std::string& ended_row) {
-  return Parse(ended_row).value("sweeper", "");
+  return TextField(Parse(ended_row), "sweeper");
 }
 
 std::optional<ended_job> ReadEndedRow(const std::string& ended_row) {
   const json j = Parse(ended_row);
-  const std::string state = j.value("state", "");
+  const std::string state = TextField(j, "state");
   for (leased_outcome outcome :
        {leased_outcome::completed, leased_outcome::failed,
         leased_outcome::cancelled}) {
     if (state == ToText(outcome))
-      return ended_job{outcome, j.value("epoch", 1u)};
+      return ended_job{outcome, NumberField(j, "epoch", 1u)};
   }
   return std::nullopt;
 }
@@ -242,12 +269,16 @@
   peer_owner peer;
   peer.key = row.key;
   peer.version = row.version;
-  peer.name = j.value("name", "");
-  peer.life = j.value("life", "");
-  peer.released = j.value("released", false);
-  const json waiting = j.value("waiting", json::object());
-  for (const auto& [queue, count] : waiting.items())
-    peer.waiting[queue] = count.get<size_t>();
+  peer.name = TextField(j, "name");
+  peer.life = TextField(j, "life");
+  peer.released = FlagField(j, "released");
+  const json* waiting = FindField(j, "waiting");
+  if (waiting == nullptr || !waiting->is_object())
+    return peer;
+  for (const auto& [queue, count] : waiting->items()) {
+    if (count.is_number_unsigned())
+      peer.waiting[queue] = count.get<size_t>();
+  }
   return peer;
 }
 
--- /dev/null
+++ b/tests/odd_records_unit_test.cc
@@ -0,0 +1,190 @@
+// Records that another writer left: members that are missing or of another
+// type, words that nobody knows, bytes that can't be read. They name nobody to
+// use, and end no process.
+//
+// Contents
+//   [1] Rows in the store
+//   [2] Announcements of workers
+//   [3] Answers of the store
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "../platform/callers.h"
+#include "../platform/operator_config.h"
+#include "../platform/store.h"
+#include "../platform/worker.h"
+#include "cassiaferry/directory.h"
+#include "core/durable_rows.h"
+
+namespace cassiaferry {
+namespace {
+
+const std::vector<std::string> kOddTexts = {
+    "",
+    "null",
+    "[]",
+    "17",
+    "\"text\"",
+    "{",
+    "{}",
+    "\xff\xfe\x00garbage",
+    R"({"link":17})",
+    R"({"link":null})",
+    R"({"link":{"a":1}})",
+    R"({"link":"nowhere"})",
+    R"({"link":"10.0.0.1:"})",
+    R"({"link":"10.0.0.1:99999"})",
+    R"({"owner":5,"epoch":"x","sweeper":[],"state":1})",
+    R"({"name":1,"life":[],"released":"yes","waiting":[1,2]})",
+    R"({"name":"n","life":"l","waiting":{"q":"many","r":-1}})",
+    R"({"version":"x","routes":5,"services":{}})",
+    R"({"version":-1,"routes":[{"name":1}],"services":[{}]})",
+};
+
+// ---- [1] Rows in the store --------------------------------------------------
+
+TEST_CASE("directory_row_odd_names_no_address") {
+  for (const std::string& text : kOddTexts)
+    CHECK_FALSE(ReadDirectoryRow(text).has_value());
+  CHECK(ReadDirectoryRow(WriteDirectoryRow("10.0.0.1:70")) == "10.0.0.1:70");
+}
+
+TEST_CASE("durable_rows_odd_are_of_nobody") {
+  for (const std::string& text : kOddTexts) {
+    INFO(text);
+    CHECK(OwnerOf(text).empty());
+    CHECK(EpochOf(text) == 1);
+    CHECK(SweeperOf(text).empty());
+    CHECK_FALSE(ReadEndedRow(text).has_value());
+    CHECK_FALSE(ReadJobRow("job", text).has_value());
+    const auto peer = ReadOwnerRow({"owners", "entry/x", text, 1, false});
+    CHECK((!peer || peer->waiting.empty()));
+  }
+}
+
+TEST_CASE("operator_config_odd_is_refused_with_a_reason") {
+  for (const std::string& text : kOddTexts) {
+    std::string error;
+    INFO(text);
+    CHECK_FALSE(platform::ReadOperatorConfig(text, error).has_value());
+    CHECK_FALSE(error.empty());
+  }
+}
+
+// ---- [2] Announcements of workers -------------------------------------------
+
+http_request Heartbeat(const std::string& body) {
+  http_request request;
+  request.method = "POST";
+  request.path = "/api/instances/i-1/heartbeat";
+  request.body = body;
+  return request;
+}
+
+const char kSound[] =
+    R"({"service":"s","addr":"10.0.0.9:8080","slots":8,"state":"ready",
+        "capacity":{"cpu":16000,"memMb":1024,"gpu":0},"labels":["a"],
+        "callSeq":4})";
+
+TEST_CASE("announcement_sound_is_read") {
+  std::string error;
+  const auto event = platform::ReadAnnouncement(Heartbeat(kSound), error);
+  REQUIRE(event.has_value());
+  const auto& e = std::get<leased_worker_announced>(*event);
+  CHECK(e.info.life == "i-1");
+  CHECK(e.info.capacity.cpu == 16'000);
+  CHECK(e.sequence == 4);
+  CHECK_FALSE(e.draining);
+}
+
+// What a user sees: jobs wait for a worker that isn't there. Order: somebody
+// else's report comes in, with a state that this version doesn't know; the
+// worker beside the sidecar is taken for gone, and that one for ready.
+TEST_CASE("announcement_odd_names_no_worker") {
+  std::vector<std::string> bodies = kOddTexts;
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"ready\"", "\"resting\""},
+           {"\"ready\"", "7"},
+           {"\"state\":\"ready\",", ""},
+           {"\"service\":\"s\"", "\"service\":\"\""},
+           {"\"service\":\"s\"", "\"service\":[1]"},
+           {"16000", "\"many\""},
+           {"16000", "-5"},
+           {"1024", "null"},
+           {"[\"a\"]", "\"a\""},
+           {"[\"a\"]", "[1,2]"},
+           {"\"callSeq\":4", "\"callSeq\":\"4\""},
+           {"\"callSeq\":4", "\"callSeq\":-4"}}) {
+    std::string body = kSound;
+    body.replace(body.find(from), from.size(), to);
+    bodies.push_back(body);
+  }
+  for (const std::string& body : bodies) {
+    std::string error;
+    INFO(body);
+    CHECK_FALSE(platform::ReadAnnouncement(Heartbeat(body), error).has_value());
+    CHECK_FALSE(error.empty());
+  }
+}
+
+// ---- [3] Answers of the store -----------------------------------------------
+
+http_reply StoreReply(const std::string& body) {
+  http_reply reply;
+  reply.sent = true;
+  reply.answered = true;
+  reply.status = 200;
+  reply.body = body;
+  return reply;
+}
+
+TEST_CASE("store_answer_odd_rows_are_left_out") {
+  const rows_reply reply = platform::ReadRowsReply(StoreReply(
+      R"({"ver":9,"rows":[5,null,{"key":7},{"table":"t","key":"k","ver":3,
+          "value":"YQ=="},{"table":"t","key":"l","ver":"x","value":[1]}]})"));
+  CHECK(reply.status == store_status::ok);
+  CHECK(reply.version == 9);
+  REQUIRE(reply.rows.size() == 1);
+  CHECK(reply.rows[0].value == "a");
+}
+
+TEST_CASE("store_answer_not_an_answer_is_no_answer") {
+  for (const char* body : {"", "[]", "5", "{\"ver\":", "\xff\xff"})
+    CHECK(platform::ReadRowsReply(StoreReply(body)).status ==
+          store_status::no_answer);
+}
+
+// Bytes of sound records changed at random: whatever comes, it is read or
+// refused, and nothing else.
+TEST_CASE("records_with_bytes_changed_end_no_process") {
+  std::minstd_rand draw{1};
+  const std::vector<std::string> sound = {
+      kSound, WriteDirectoryRow("10.0.0.1:70"),
+      R"({"ver":9,"rows":[{"table":"t","key":"k","ver":3,"value":"YQ=="}]})",
+      R"({"version":3,"services":[{"name":"s"}],"routes":[{"name":"r",
+          "host":"h","pathPrefix":"/p/","service":"s","maxAttempts":4}]})",
+      R"({"owner":"o","epoch":2,"queue":{},"payload":"p","steps":[]})"};
+  for (int i = 0; i < 20'000; ++i) {
+    std::string text = sound[draw() % sound.size()];
+    for (uint32_t n = 1 + draw() % 4; n > 0; --n)
+      text[draw() % text.size()] = static_cast<char>(draw() % 256);
+    std::string error;
+    leased_job_request job;
+    platform::ReadAnnouncement(Heartbeat(text), error);
+    platform::ReadOperatorConfig(text, error);
+    platform::ReadRowsReply(StoreReply(text));
+    platform::ReadJob(Heartbeat(text), job, error);
+    ReadDirectoryRow(text);
+    ReadJobRow("job", text);
+    ReadEndedRow(text);
+    ReadOwnerRow({"owners", "entry/x", text, 1, false});
+  }
+  SUCCEED();
+}
+
+}  // namespace
+}  // namespace cassiaferry
