--- /dev/null
+++ b/src/emulator/load_play.h
@@ -0,0 +1,47 @@
+// A load of the users' mix on the emulated world, and what callers got.
+
+#ifndef CASSIAFERRY_SRC_EMULATOR_LOAD_PLAY_H_
+#define CASSIAFERRY_SRC_EMULATOR_LOAD_PLAY_H_
+
+#include <cstdint>
+
+#include "leased_world.h"
+
+namespace cassiaferry::emulator {
+
+constexpr size_t kLoadQueues = 3;  // quick, long, pings
+
+struct load_options {
+  world_options world;  // its capacity is set by PlayLoad
+  double load = 1;      // offered against the room of all workers
+  double seconds = 6;
+  int hanging = 0;         // workers on which all stands still
+  int slow = 0;            // workers on which all takes 5.6 times as long
+  double late_orders = 0;  // share of orders to workers that come late
+};
+
+struct queue_result {
+  int asked = 0;
+  int on_time = 0;
+  int late = 0;
+  int refused = 0;
+};
+
+struct play_result {
+  queue_result queues[kLoadQueues];
+  double value = 0;  // earned against owed; late counts a fifth
+  double used = 0;   // of the room, while the load lasted
+  uint64_t starts = 0;
+  uint64_t refusals = 0;     // runs that a sidecar refused
+  double refused_after = 0;  // mean time to a refusal, against the objective
+  int resent = 0;            // jobs that ran in part, and were given up
+  size_t broken = 0;
+};
+
+play_result PlayLoad(const load_options& options);
+
+const char* QueueName(size_t queue);
+
+}  // namespace cassiaferry::emulator
+
+#endif  // CASSIAFERRY_SRC_EMULATOR_LOAD_PLAY_H_
