--- a/src/apps/emulate_experiment.cc
+++ b/src/apps/emulate_experiment.cc
@@ -131,6 +131,7 @@
           PlayLoad(OptionsFor(file, arms[plays[i].arm], plays[i]));
   };
   std::vector<std::thread> threads;
+  threads.reserve(std::thread::hardware_concurrency() + 1);
   for (unsigned i = 0; i < std::max(1u, std::thread::hardware_concurrency());
        ++i)
     threads.emplace_back(work);
@@ -148,6 +149,7 @@
 template <typename Read>
 std::vector<double> Sorted(const std::vector<const play*>& plays, Read read) {
   std::vector<double> values;
+  values.reserve(plays.size());
   for (const play* p : plays)
     values.push_back(read(p->result));
   std::sort(values.begin(), values.end());
@@ -213,9 +215,11 @@
 int PlayExperiment(const std::string& path) {
   const json file = ReadSettings(path, kRules);
   std::vector<arm> arms;
+  arms.reserve(file["arms"].size());
   for (const json& j : file["arms"])
     arms.push_back(ReadArm(path, j));
   std::vector<double> loads;
+  loads.reserve(file["loads"].size());
   for (const json& load : file["loads"]) {
     if (!load.is_number() || load <= 0 || load > 100)
       Refuse(path, "loads: must be numbers above 0, up to 100");
@@ -223,6 +227,7 @@
   }
   std::vector<play> plays;
   const auto seeds = file.value("seeds", uint64_t{6});
+  plays.reserve(arms.size() * loads.size() * seeds);
   for (size_t a = 0; a < arms.size(); ++a) {
     for (double load : loads) {
       for (uint64_t seed = 1; seed <= seeds; ++seed)
--- a/src/core/keeper_systems.h
+++ b/src/core/keeper_systems.h
@@ -19,6 +19,10 @@
 
 void Note(keeper_state& k, const char* what, std::string detail);
 bool Vouched(const keeper_state& k, micros now, incarnation owner);
+// Calls the worker, once more if it was called before; extends its lease.
+void CallStart(keeper_state& k, micros now, kept_run& run);
+// The run's end is told once the worker lists it, or no longer runs it.
+void StopRun(keeper_state& k, micros now, kept_run& run);
 
 // ---- [2] Ends (keeper_ends.cc) ----------------------------------------------
 
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -4,17 +4,15 @@
 //   [1] Bounds and names
 //   [2] Calls to the worker
 //   [3] The worker's lives
-//   [4] Orders
-//   [5] Answers
-//   [6] Tick
-//   [7] Reports
+//   [4] Answers
+//   [5] Tick
+//   [6] Reports
 
 #include "cassiaferry/lease_keeper.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "cassiaferry/pack.h"
 #include "keeper_systems.h"
 
 namespace cassiaferry {
@@ -78,6 +76,13 @@
   return WorkerClock(k, now) + ToMillis(k.options.bounds.lease);
 }
 
+void CallStop(keeper_state& k, micros now, const run_ref& ref) {
+  k.actions.push_back(call_run_stop{k.worker.life, ref, k.fence,
+                                    ToMillis(CallTimeout(k, now))});
+}
+
+}  // namespace
+
 void CallStart(keeper_state& k, micros now, kept_run& run) {
   ++run.tries;
   run.called = now;
@@ -87,11 +92,6 @@
                                      ToMillis(CallTimeout(k, now))});
 }
 
-void CallStop(keeper_state& k, micros now, const run_ref& ref) {
-  k.actions.push_back(call_run_stop{k.worker.life, ref, k.fence,
-                                    ToMillis(CallTimeout(k, now))});
-}
-
 void StopRun(keeper_state& k, micros now, kept_run& run) {
   if (run.state == run_state::stopping)
     return;
@@ -102,6 +102,8 @@
   CallStop(k, now, run.start.ref);
 }
 
+namespace {
+
 void CallLook(keeper_state& k, micros now) {
   k.looks_open = ++k.looks_sent;
   k.look_called = now;
@@ -206,113 +208,7 @@
   }
 }
 
-// ---- [4] Orders -------------------------------------------------------------
-
-void TakeRunStart(keeper_state& k,
-                  micros now,
-                  incarnation owner_name,
-                  run_owner& owner,
-                  run_start start) {
-  ++owner.starts_seen;
-  const auto there = k.runs.find(start.ref.task);
-  if (there != k.runs.end()) {
-    kept_run& run = there->second;
-    if (run.owner == owner_name && run.start.ref == start.ref)
-      return;
-    // Failure guarded against: a caller whose connection broke has sent its job
-    // again to another entry, and the first entry's run is still here. Two runs
-    // of one task never overlap: the older is stopped, the newer refused.
-    if (run.owner != owner_name)
-      StopRun(k, now, run);
-    TellEnd(k, owner_name, start.ref, run_end_kind::never_started, 0);
-    return;
-  }
-  // Failure guarded against: orders held up in the network or by a pause of
-  // this process arrive when their owner has given them up. They echo a stamp
-  // too old to vouch for anything.
-  const bool acceptable = !start.packed && TakesLeasedWork(k, now) &&
-                          Vouched(k, now, owner_name) &&
-                          Fits(start.need, FreeFor(k, now, owner_name));
-  if (!acceptable) {
-    TellEnd(k, owner_name, start.ref, run_end_kind::never_started, 0);
-    return;
-  }
-  kept_run run;
-  run.owner = owner_name;
-  run.since = now;
-  run.start = std::move(start);
-  k.used = k.used + run.start.need;
-  const leased_task task = run.start.ref.task;
-  kept_run& row = k.runs.emplace(task, std::move(run)).first->second;
-  CallStart(k, now, row);
-}
-
-void TakeRunStop(keeper_state& k,
-                 micros now,
-                 incarnation owner,
-                 const run_ref& ref) {
-  const auto it = k.runs.find(ref.task);
-  if (it != k.runs.end() && it->second.owner == owner &&
-      it->second.start.ref == ref)
-    StopRun(k, now, it->second);
-}
-
-// Tasks of a job follow each other and share its payload. One that can't be
-// unpacked stays packed, and is not started.
-void UnpackPayloads(keeper_state& k, std::vector<run_start>& starts) {
-  const run_start* before = nullptr;
-  for (run_start& start : starts) {
-    const bool shared = before != nullptr && !before->packed && start.packed &&
-                        before->ref.task.job == start.ref.task.job;
-    if (shared) {
-      start.payload = before->payload;
-      start.packed = false;
-    } else if (start.packed) {
-      std::optional<std::string> payload = Unpack(start.payload);
-      if (!payload)
-        Note(k, "payload unreadable", start.ref.task.job);
-      start.packed = !payload;
-      start.payload = std::move(payload).value_or("");
-    }
-    before = &start;
-  }
-}
-
-// A new stream of this owner: it names the runs that it ordered from this very
-// process and has heard no end of. What is here beyond those is stopped; what
-// it names and is not here never started, as its order went down with the older
-// stream.
-void ReconcileRuns(keeper_state& k,
-                   micros now,
-                   incarnation owner_name,
-                   run_owner& owner,
-                   const lease_orders& orders) {
-  // Failure guarded against: this process has forgotten the entry (it said
-  // goodbye, or was silent for long) and counts its ends from 1 again; the
-  // entry takes each for one that it has had, and its jobs never end.
-  const uint64_t heard = std::max(orders.taken_end, orders.acked_end);
-  owner.next_end = std::max(owner.next_end, heard + 1);
-  owner.starts_seen = 0;
-  owner.settled_seen = 0;
-  owner.ends_told = 0;
-  owner.worker_told = false;
-  owner.stragglers.clear();
-  owner.due = true;
-  const std::set<run_ref> wanted(orders.known.begin(), orders.known.end());
-  for (auto& [task, run] : k.runs) {
-    if (run.owner == owner_name && wanted.count(run.start.ref) == 0)
-      StopRun(k, now, run);
-  }
-  for (const run_ref& ref : wanted) {
-    const auto it = k.runs.find(ref.task);
-    const bool here = it != k.runs.end() && it->second.owner == owner_name &&
-                      it->second.start.ref == ref;
-    if (!here && !HasEnd(owner, ref))
-      TellEnd(k, owner_name, ref, run_end_kind::never_started, 0);
-  }
-}
-
-// ---- [5] Answers ------------------------------------------------------------
+// ---- [4] Answers ------------------------------------------------------------
 
 void RaiseFence(keeper_state& k) {
   k.fence += k.fence_step;
@@ -515,7 +411,7 @@
   }
 };
 
-// ---- [6] Tick ---------------------------------------------------------------
+// ---- [5] Tick ---------------------------------------------------------------
 
 // Failure guarded against: the worker is gone without a word, or out of reach.
 // It shows as no answer at all. Once no lease granted to it can be left, what
@@ -640,32 +536,6 @@
   std::visit(keeper_event_taker{k, now}, event);
 }
 
-void TakeOrders(keeper_state& k,
-                micros now,
-                incarnation owner_name,
-                lease_orders orders) {
-  run_owner& owner = k.owners[owner_name];
-  owner.vouched_until = std::max(owner.vouched_until,
-                                 micros{orders.echo} + k.options.bounds.vouch);
-  owner.heard_sent = orders.sent;
-  owner.heard_at = now;
-  if (orders.is_first)
-    ReconcileRuns(k, now, owner_name, owner, orders);
-  for (const settled_end& settled : orders.settled)
-    SettleHeld(k, now, owner_name, settled);
-  owner.settled_seen += orders.settled.size();
-  AckEnds(k, owner, orders.acked_end);
-  owner.wanted_cpu = orders.wanted_cpu;
-  for (const run_ref& ref : orders.stops)
-    TakeRunStop(k, now, owner_name, ref);
-  const bool answers = owner_name == k.grantee && !orders.starts.empty();
-  UnpackPayloads(k, orders.starts);
-  for (run_start& start : orders.starts)
-    TakeRunStart(k, now, owner_name, owner, std::move(start));
-  if (answers || (owner_name == k.grantee && owner.wanted_cpu == 0))
-    k.granted_until = micros{0};
-}
-
 void TickKeeper(keeper_state& k, micros now) {
   CheckLease(k, now);
   CheckLapse(k, now);
@@ -693,7 +563,7 @@
   return kept ? room{} : FreeRoom(k);
 }
 
-// ---- [7] Reports ------------------------------------------------------------
+// ---- [6] Reports ------------------------------------------------------------
 
 lease_reports ReportFor(keeper_state& k, micros now, incarnation owner_name) {
   lease_reports report;
