--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -238,11 +238,12 @@
   double work_newest = 0;           // of the newest measurement alone
   double work_arrived = 0;          // ... times microseconds
   micros arrivals_measured{0};
-  micros last_refusal{0};  // when hopeless jobs were last looked for
-  int64_t cpu_taking = 0;  // capacity of the workers that take work ...
-  micros grown_at{0};      // ... and when it last grew
-  int64_t wanted_cpu = 0;  // that workers are to tell of; 0: no task waits
-  uplink link;             // of this process's machine
+  micros last_refusal{0};     // when hopeless jobs were last looked for
+  int64_t cpu_taking = 0;     // capacity of the workers that take work ...
+  micros grown_at{0};         // ... and when it last grew
+  int64_t wanted_cpu = 0;     // that workers are to tell of; 0: no task waits
+  uplink link;                // of this process's machine
+  double link_rate_told = 0;  // its bound, as last logged
   micros last_tick{0};
   micros settle_until{0};
   durable_state durable;
--- a/src/core/leased_metrics.cc
+++ b/src/core/leased_metrics.cc
@@ -72,6 +72,11 @@
                static_cast<double>(s.jobs.size()));
   AppendMetric(out, "cassiaferry_leased_jobs_waiting", "",
                static_cast<double>(s.waiting.size()));
+  AppendMetric(out, "cassiaferry_link_bytes_per_s_bound", "", s.link.rate);
+  AppendMetric(out, "cassiaferry_link_delay_ms", "",
+               static_cast<double>(ToMillis(s.link.delay)));
+  AppendMetric(out, "cassiaferry_leased_work_arriving_millicores", "",
+               s.work_arriving);
   for (const auto& [queue, latencies] : s.latencies) {
     const std::string label = "queue=\"" + queue + "\"";
     AppendHistogram(out, "cassiaferry_leased_queued_ms", label,
--- a/src/core/leased_tick.cc
+++ b/src/core/leased_tick.cc
@@ -144,6 +144,21 @@
   }
 }
 
+// A line when the bound has come, gone, or changed by a half or more.
+void LogLinkRate(entry_state& s) {
+  constexpr double kTellsAt = 1.5;
+  const double rate = s.leased.link.rate;
+  const double told = s.leased.link_rate_told;
+  const bool same_kind = (rate > 0) == (told > 0);
+  if (same_kind && rate <= kTellsAt * told && told <= kTellsAt * rate)
+    return;
+  s.leased.link_rate_told = rate;
+  s.actions.push_back(leased_decision{
+      rate > 0 ? "link bounded" : "link has no bound", "",
+      "bytes_per_s " + std::to_string(static_cast<int64_t>(rate)) +
+          ", delay_ms " + std::to_string(ToMillis(s.leased.link.delay))});
+}
+
 // Failure guarded against: this process was frozen, and wakes with jobs whose
 // callers have gone elsewhere meanwhile. Nothing starts until what lies in its
 // sockets, among it the ends of those connections, has been read.
@@ -164,6 +179,7 @@
     return;
   NotePause(s.leased, now);
   TickUplink(s.leased.link, now);
+  LogLinkRate(s);
   EndLostRuns(s, now);
   NoteGrowth(s, now);
   MeasureArrivals(s.leased, now);
