--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -49,7 +49,7 @@
   int64_t resend_after_ms = 1300;  // callers send again after this
   int64_t stop_grace_ms = 6000;    // from the stop signal to the end
   leased_admission admission = leased_admission::in_time;
-  double link_mbps = 0;            // of the machine's link; 0: not known
+  double link_mbps = 0;  // of the machine's link; 0: not known
   leased_order order = leased_order::fair_share;
 };
 
