Test of refused configurations waits until the first one is in force

Cause: sidecars now ask for the configuration within half a second instead of being sent it by every entry, and the test came to its end sooner.

--- a/tests/promises_test.cc
+++ b/tests/promises_test.cc
@@ -182,6 +182,8 @@
 
 TEST_CASE_METHOD(two_entries,
                  "Config_WhenInvalidOrUnauthorized_ChangesNothing") {
+  // Sidecars ask for it within half a second.
+  REQUIRE(Eventually([&] { return InForce(sys, 1); }));
   json config = sys.Config()["config"];
   config["policies"]["default"]["kind"] = "best";
   CHECK(sys.PutConfig(0, config, 1).status == 400);
