A room that is small for a while refuses no job for good

Cause: "needs more than any worker has" went by the capacities of the moment. While workers' room is small, a job that fits at other times is refused for good, as if no later try could help.

The test fails before. A second one holds already: a start that waits doesn't begin over a room that shrank meanwhile.

--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -144,6 +144,7 @@
 struct leased_worker {
   bool known = false;
   leased_worker_info info;
+  room largest;  // capacity that this life of it has had
   bool takes_work = false;
   room free;                 // as reported
   int64_t stamp = 0;         // of the newest report, on the sidecar's clock
--- a/include/cassiaferry/leases.h
+++ b/include/cassiaferry/leases.h
@@ -17,6 +17,7 @@
 #ifndef CASSIAFERRY_LEASES_H_
 #define CASSIAFERRY_LEASES_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -42,6 +43,10 @@
 constexpr room operator-(const room& a, const room& b) {
   return {a.cpu - b.cpu, a.memory_mb - b.memory_mb, a.gpus - b.gpus};
 }
+constexpr room Largest(const room& a, const room& b) {
+  return {std::max(a.cpu, b.cpu), std::max(a.memory_mb, b.memory_mb),
+          std::max(a.gpus, b.gpus)};
+}
 constexpr bool Fits(const room& need, const room& free) {
   return need.cpu <= free.cpu && need.memory_mb <= free.memory_mb &&
          need.gpus <= free.gpus;
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -285,6 +285,9 @@
 
 // A job that no worker ever seen could hold is told so at once. Before any
 // worker is known it waits: the first announcement may be a second away.
+// Failure guarded against: workers whose room is small for a while, and a job
+// that fits at other times is refused for good. What counts is the most room
+// that they have had.
 bool CanEverRun(const entry_state& s,
                 const queue_config& queue,
                 const std::vector<leased_step>& steps) {
@@ -295,7 +298,7 @@
       if (!w.known || w.info.upstream != queue.upstream)
         continue;
       any = true;
-      fits = fits || Fits(step.need, w.info.capacity);
+      fits = fits || Fits(step.need, w.largest);
     }
     if (any && !fits)
       return false;
--- a/src/core/leased_workers.cc
+++ b/src/core/leased_workers.cc
@@ -360,8 +360,10 @@
   if (reports.worker) {
     if (w.info.life != reports.worker->life) {
       w.failing = 0;
+      w.largest = {};
     }
     w.info = *reports.worker;
+    w.largest = Largest(w.largest, w.info.capacity);
     w.known = true;
   }
   if (reports.heard.sent != 0)
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -261,6 +261,21 @@
   REQUIRE(w.Count(job_fate::completed) == 1);
 }
 
+// What a user sees: a job that fits every worker is refused for good. Order:
+// the workers' room shrinks for a second, the job comes, the room grows again.
+TEST_CASE_METHOD(leased_jobs, "room_small_for_a_while_job_waits_and_is_done") {
+  const room whole = w.options.capacity;
+  w.options.capacity = {2000, 8192, 0};
+  w.Pass(Millis(2500));
+  w.Submit(MakeJob("job", 1, 4000, 1500));
+  w.Pass(Millis(50));
+  REQUIRE(w.jobs["job"].fate == job_fate::open);
+  w.options.capacity = whole;
+  w.Pass(Millis(4000));
+  REQUIRE(w.jobs["job"].fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
 // ---- [3] Sick workers -------------------------------------------------------
 
 // What a user sees: one booking in four hangs until its caller gives up. Order:
--- a/tests/starts_wait_unit_test.cc
+++ b/tests/starts_wait_unit_test.cc
@@ -166,6 +166,26 @@
   CHECK((k.used - k.waiting_room).cpu <= k.worker.capacity.cpu);
 }
 
+// What the worker's owner sees: more runs than its room holds. Order: a start
+// waits, the worker's room shrinks to less than what runs there, a run ends.
+// What runs still counts; the start begins once it fits what the room is now.
+TEST_CASE_METHOD(full_worker, "start_waits_room_shrinks_never_begins_over_it") {
+  k.options.start_wait = Millis(5000);
+  Order(kOwner, "new", 50);
+  leased_worker_announced e;
+  e.info = k.worker;
+  e.info.capacity.cpu = 3000;
+  e.sequence = 5;
+  TakeKeeperEvent(k, now, e);
+  EndOne();
+  CHECK(Starts() == 0);
+  e.info.capacity.cpu = 4000;
+  e.sequence = 6;
+  TakeKeeperEvent(k, now, e);
+  TickKeeper(k, now);
+  CHECK(Starts() == 1);
+}
+
 // ---- [3] What must not start any more ---------------------------------------
 
 // What a user sees: a task that runs twice at a time. Order: a start waits
