Sight: an announcement or an end of the worker that is passed over is logged

The logs of the incident can't tell an announcement that was dropped as an old one from one that never came, nor a run that was lost from one whose end was taken for known. Ruled out: a counter alone, which names neither the worker nor the number. No behaviour changes. Not measured: a line each, in a case that should not come up.

--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -237,16 +237,23 @@
 // sender has crashed and a new life has announced itself. Lives that are over
 // stay over, and within a life the sequence number only grows.
 void Announce(keeper_state& k, micros now, const leased_worker_announced& e) {
-  if (k.past_lives.count(e.info.life) != 0)
+  if (k.past_lives.count(e.info.life) != 0) {
+    Note(k, "announcement passed over", e.info.life + ", that life is over");
     return;
+  }
   if (k.has_worker && k.worker.life != e.info.life)
     LoseWorker(k, now);
   if (!k.has_worker) {
     BeginLife(k, now, e);
     return;
   }
-  if (e.sequence < k.sequence)
+  if (e.sequence < k.sequence) {
+    Note(k, "announcement passed over",
+         e.info.life + ", number " + std::to_string(e.sequence) +
+             ", newest known " + std::to_string(k.sequence) +
+             (e.draining ? ", draining" : ""));
     return;
+  }
   k.sequence = e.sequence;
   const bool changed = k.draining != e.draining || !(k.worker == e.info);
   k.draining = e.draining;
@@ -346,11 +353,17 @@
 }
 
 void TakeListedEnd(keeper_state& k, micros now, const listed_end& end) {
-  if (end.number <= k.seen)
+  const auto it = k.runs.find(end.ref.task);
+  const bool known = it != k.runs.end() && it->second.start.ref == end.ref;
+  if (end.number <= k.seen) {
+    if (known)
+      Note(k, "end passed over",
+           end.ref.task.job + ", number " + std::to_string(end.number) +
+               ", newest known " + std::to_string(k.seen));
     return;
+  }
   k.seen = end.number;
-  const auto it = k.runs.find(end.ref.task);
-  if (it == k.runs.end() || it->second.start.ref != end.ref) {
+  if (!known) {
     if (k.options.keeps_ends)
       HoldEnd(k, now, incarnation{}, end, 0);
     return;
