--- a/src/apps/emulate_main.cc
+++ b/src/apps/emulate_main.cc
@@ -18,6 +18,9 @@
 DEFINE_bool(one_way_cuts,
             false,
             "with --days or --replay: cuts between two hold up one direction");
+DEFINE_bool(workers_keep_ids,
+            false,
+            "with --days or --replay: workers start again under their ids");
 DEFINE_uint64(seed, 1, "first seed");
 DEFINE_uint64(seeds, 3, "how many seeds");
 DEFINE_double(load, 1.0, "offered load against the room of all workers");
@@ -52,11 +55,15 @@
   return false;
 }
 
+day_options DayOf(uint64_t seed) {
+  return {seed, FLAGS_one_way_cuts, FLAGS_workers_keep_ids};
+}
+
 int PlayDays() {
   size_t broken = 0;
   size_t jobs = 0;
   for (uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_days; ++seed) {
-    const day_report day = PlaySeededDay(seed, {}, FLAGS_one_way_cuts);
+    const day_report day = PlaySeededDay(DayOf(seed));
     jobs += day.jobs;
     broken += PrintDay(day) ? 0 : 1;
   }
@@ -67,9 +74,8 @@
 
 int Replay() {
   const day_report day = PlaySeededDay(
-      FLAGS_replay,
-      [](const std::string& line) { std::printf("%s\n", line.c_str()); },
-      FLAGS_one_way_cuts);
+      DayOf(FLAGS_replay),
+      [](const std::string& line) { std::printf("%s\n", line.c_str()); });
   return PrintDay(day) ? kExitOk : kExitFailed;
 }
 
--- a/src/emulator/durable_world.cc
+++ b/src/emulator/durable_world.cc
@@ -260,19 +260,21 @@
           std::to_string(end.ref.run) + " number " +
           std::to_string(end.number));
   histories[end.ref.task].ends.push_back(
-      {now, end.ref.run, end.how, worker, w.life, end.number, false, false});
+      {now, end.ref.run, end.how, worker, w.lives, end.number, false, false});
 }
 
 namespace {
 
 task_end* FindEnd(std::map<leased_task, task_history>& histories,
-                  const emulated_worker& w,
+                  int worker,
+                  uint64_t worker_life,
                   const listed_end& end) {
   const auto it = histories.find(end.ref.task);
   if (it == histories.end())
     return nullptr;
   for (task_end& e : it->second.ends) {
-    if (e.life == w.life && e.number == end.number)
+    if (e.worker == worker && e.worker_life == worker_life &&
+        e.number == end.number)
       return &e;
   }
   return nullptr;
@@ -285,7 +287,7 @@
   for (const listed_end& end : w.ended) {
     if (end.number > seen)
       return;
-    task_end* e = FindEnd(histories, w, end);
+    task_end* e = FindEnd(histories, worker, w.lives, end);
     if (e == nullptr)
       continue;
     e->noted = true;
@@ -299,7 +301,7 @@
 void world::NoteLapse(int worker) {
   const emulated_worker& w = workers[static_cast<size_t>(worker)];
   for (const listed_end& end : w.ended) {
-    task_end* e = FindEnd(histories, w, end);
+    task_end* e = FindEnd(histories, worker, w.lives, end);
     if (e != nullptr && !e->noted)
       e->lapsed = true;
   }
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -509,24 +509,46 @@
     return;
   w.up = false;
   w.runs.clear();
-  At(now + down_for, [this, worker] {
-    emulated_worker& same = workers[static_cast<size_t>(worker)];
-    same.up = true;
-    same.draining = false;
-    same.life = "life-" + std::to_string(next_life_++);
-    same.fence = 0;
-    same.lease_until_ms = 0;
-    same.next_end = 1;
-    same.announcements = 0;
-    same.ended.clear();
-    same.over.clear();
-  });
+  At(now + down_for, [this, worker] { RestartWorker(worker); });
+}
+
+void world::RestartWorker(int worker) {
+  emulated_worker& w = workers[static_cast<size_t>(worker)];
+  w.up = true;
+  ++w.lives;
+  w.draining = false;
+  w.leaves_told = {};
+  if (options.workers_keep_ids)
+    w.clock_origin = now;
+  else
+    w.life = "life-" + std::to_string(next_life_++);
+  w.fence = 0;
+  w.lease_until_ms = 0;
+  w.next_end = 1;
+  w.announcements = 0;
+  w.ended.clear();
+  w.over.clear();
+  Log("worker " + std::to_string(worker), "starts again as " + w.life);
 }
 
 void world::DrainWorker(int worker) {
   workers[static_cast<size_t>(worker)].draining = true;
 }
 
+void world::RollWorker(int worker, micros down_for) {
+  Log("fault", "roll worker " + std::to_string(worker));
+  DrainWorker(worker);
+  const uint64_t lives = workers[static_cast<size_t>(worker)].lives;
+  At(now + options.drain_within + Millis(500), [this, worker, lives, down_for] {
+    const emulated_worker& w = workers[static_cast<size_t>(worker)];
+    if (!w.up || w.lives != lives)
+      return;
+    Deliver(worker, sidecars[static_cast<size_t>(worker)].lives,
+            leased_worker_left{w.life});
+    CrashWorker(worker, down_for);
+  });
+}
+
 void world::Reset(int entry, int sidecar) {
   Log("fault",
       "reset " + EntryAddress(entry) + " sidecar-" + std::to_string(sidecar));
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -70,10 +70,13 @@
   bool link_is_stated = false;  // to entries, in their settings
   bool paces_payloads = true;
   bool one_way_cuts = false;  // of AddProcessFault
+  // A worker starts again under the id that it had, and counts anew.
+  bool workers_keep_ids = false;
   // Of a core, for each entry in turn; empty: no bound.
   std::vector<double> entry_processors;
   processor_costs costs;
   micros cancel_within = Millis(3000);  // nothing of a job starts later
+  micros drain_within = Millis(2000);   // nor on a worker that leaves
   lease_bounds bounds;                  // set from `resend_after` by MakeWorld
 };
 
@@ -89,13 +92,14 @@
 
 struct emulated_worker {
   std::string life;
-  uint64_t lives = 0;
+  uint64_t lives = 0;  // starts of it so far
   std::vector<std::string> labels;
   bool up = true;
   bool silent = false;  // answers nothing, and goes on
   bool hangs = false;   // what runs there stands still
   bool fails_all = false;
   bool draining = false;
+  micros leaves_told{0};  // its sidecar has heard that it drains; 0: not yet
   double slowness = 1;
   double late_share = 0;  // of orders: no answer, carried out seconds later
   double clock_rate = 1;  // against true time
@@ -204,7 +208,7 @@
   uint32_t run = 0;
   run_end_kind how = run_end_kind::done;
   int worker = 0;
-  std::string life;
+  uint64_t worker_life = 0;  // counted by the world
   uint64_t number = 0;
   bool noted = false;   // acknowledged to the worker
   bool lapsed = false;  // the worker's lease lapsed before that
@@ -239,6 +243,7 @@
   void CrashWorker(int worker, micros down_for);
   void SilenceWorker(int worker, micros time);  // it runs on meanwhile
   void DrainWorker(int worker);
+  void RollWorker(int worker, micros down_for);  // drains, leaves, starts again
   void Cut(int entry, int sidecar, micros time, cut_ways ways = cut_ways::both);
   void Reset(int entry, int sidecar);  // their stream; the next one works
   void CutFromStore(int entry, micros time);
@@ -320,7 +325,7 @@
 
   void CallWorker(int sidecar, const keeper_action& call);
   void Deliver(int sidecar, uint64_t life, keeper_event event);
-  bool AnswersOrders(const emulated_worker& w, const std::string& life) const;
+  void RestartWorker(int worker);
   int64_t ClockOf(const emulated_worker& w) const;
   worker_answer DoStart(int worker, const call_run_start& call);
   worker_answer DoStop(int worker, const call_run_stop& call);
--- a/src/emulator/seeded_day.cc
+++ b/src/emulator/seeded_day.cc
@@ -73,6 +73,19 @@
   return out ? cut_ways::to_sidecar : cut_ways::to_entry;
 }
 
+// Nothing more is drawn, as above. Where workers keep their ids some are back
+// before anybody misses them.
+void EndWorker(world& w, int worker, micros time) {
+  constexpr int64_t kShortestMs = 100;
+  const int64_t ms = ToMillis(time);
+  if (w.options.workers_keep_ids && ms % 3 == 0)
+    w.RollWorker(worker, Millis(ms % kShortestMs));
+  else if (w.options.workers_keep_ids && ms % 3 == 1)
+    w.CrashWorker(worker, Millis(ms % kShortestMs));
+  else
+    w.CrashWorker(worker, time);
+}
+
 // ---- [2] Jobs ---------------------------------------------------------------
 
 emulated_job DrawJob(world& w, int number) {
@@ -106,7 +119,7 @@
       w.FreezeSidecar(worker, time);
       return;
     case 4:
-      w.CrashWorker(worker, time);
+      EndWorker(w, worker, time);
       return;
     case 5:
       w.Cut(entry, worker, time, WaysOf(w, time));
@@ -125,17 +138,17 @@
 
 // ---- [3] The day ------------------------------------------------------------
 
-day_report PlaySeededDay(uint64_t seed,
-                         const std::function<void(const std::string&)>& log,
-                         bool one_way_cuts) {
+day_report PlaySeededDay(const day_options& day,
+                         const std::function<void(const std::string&)>& log) {
   world_options options;
-  options.seed = seed;
+  options.seed = day.seed;
   options.has_store = true;
-  options.one_way_cuts = one_way_cuts;
+  options.one_way_cuts = day.one_way_cuts;
+  options.workers_keep_ids = day.workers_keep_ids;
   world w(options);
   w.log = log;
   day_report report;
-  report.seed = seed;
+  report.seed = day.seed;
   w.Pass(Millis(1500));
   for (int step = 0; step < kSteps; ++step) {
     w.Submit(DrawJob(w, step));
--- a/src/emulator/seeded_day.h
+++ b/src/emulator/seeded_day.h
@@ -20,18 +20,24 @@
   std::vector<violation> violations;
 };
 
+struct day_options {
+  uint64_t seed = 1;
+  bool one_way_cuts = false;  // those between one entry and one sidecar hold up
+                              // one direction
+  // Workers start again under the ids that they had, some within milliseconds,
+  // some after they said that they leave.
+  bool workers_keep_ids = false;
+};
+
 // One fault, for about `time`, of an entry, a sidecar, a worker or the link
 // between two of them.
 void AddProcessFault(world& w, micros time);
 
 // Durable and other jobs, cancels, and faults of every kind, overlapping; then
 // time to recover. `log`, if any, gets each fault and decision as a line.
-// `one_way_cuts`: those between one entry and one sidecar hold up one
-// direction.
 day_report PlaySeededDay(
-    uint64_t seed,
-    const std::function<void(const std::string&)>& log = {},
-    bool one_way_cuts = false);
+    const day_options& day,
+    const std::function<void(const std::string&)>& log = {});
 
 }  // namespace cassiaferry::emulator
 
--- a/src/emulator/worker_world.cc
+++ b/src/emulator/worker_world.cc
@@ -31,15 +31,10 @@
   WakeSidecar(sidecar);
 }
 
-bool world::AnswersOrders(const emulated_worker& w,
-                          const std::string& life) const {
-  static_cast<void>(life);
-  return w.up && !w.silent;
-}
-
 // Each order: at the worker after a delay, its answer back after another; with
 // a chance, no answer and carried out seconds later; without an answer, the
-// caller's time-out.
+// caller's time-out. What a worker has not answered when it goes down, it never
+// does.
 void world::CallWorker(int sidecar, const keeper_action& call) {
   if (const auto* note = std::get_if<keeper_note>(&call))
     Log("sidecar-" + std::to_string(sidecar),
@@ -51,6 +46,11 @@
                     static_cast<int64_t>(random() % (kLateToMs - kLateFromMs)))
            : micros{0};
   auto done = std::make_shared<bool>(false);
+  const uint64_t lives = workers[static_cast<size_t>(sidecar)].lives;
+  const auto answers = [this, sidecar, lives] {
+    const emulated_worker& w = workers[static_cast<size_t>(sidecar)];
+    return w.up && !w.silent && w.lives == lives;
+  };
   const auto answer = [this, sidecar, life, done, late](keeper_event event) {
     if (late || *done)
       return;
@@ -74,31 +74,31 @@
     time_out(
         start->timeout_ms,
         run_start_answered{start->start.ref, start->life, worker_answer::none});
-    At(arrives, [this, sidecar, c = *start, answer] {
-      if (AnswersOrders(workers[static_cast<size_t>(sidecar)], c.life))
+    At(arrives, [this, sidecar, c = *start, answers, answer] {
+      if (answers())
         answer(run_start_answered{c.start.ref, c.life, DoStart(sidecar, c)});
     });
   } else if (const auto* stop = std::get_if<call_run_stop>(&call)) {
     time_out(stop->timeout_ms,
              run_stop_answered{stop->ref, stop->life, worker_answer::none});
-    At(arrives, [this, sidecar, c = *stop, answer] {
-      if (AnswersOrders(workers[static_cast<size_t>(sidecar)], c.life))
+    At(arrives, [this, sidecar, c = *stop, answers, answer] {
+      if (answers())
         answer(run_stop_answered{c.ref, c.life, DoStop(sidecar, c)});
     });
   } else if (const auto* look = std::get_if<call_look>(&call)) {
     look_answered none;
     none.life = look->life;
     time_out(look->timeout_ms, none);
-    At(arrives, [this, sidecar, c = *look, answer] {
+    At(arrives, [this, sidecar, c = *look, answers, answer] {
       // The lease is extended at once; the answer waits for an end.
-      if (!AnswersOrders(workers[static_cast<size_t>(sidecar)], c.life))
+      if (!answers())
         return;
       const micros until = now + Millis(c.wait_ms);
       auto poll = std::make_shared<action>();
       call_look first = c;
-      *poll = [this, sidecar, c = first, until, answer, poll]() mutable {
-        const emulated_worker& w = workers[static_cast<size_t>(sidecar)];
-        if (!AnswersOrders(w, c.life))
+      *poll = [this, sidecar, c = first, until, answers, answer,
+               poll]() mutable {
+        if (!answers())
           return;
         look_answered seen = DoLook(sidecar, c);
         c.lease_until_ms = 0;
@@ -147,6 +147,9 @@
     if (workers[i].up && workers[i].runs.count(task) != 0)
       Broken("two runs at once of " + name);
   }
+  const micros told = workers[static_cast<size_t>(worker)].leaves_told;
+  if (told.value != 0 && now > told + options.drain_within)
+    Broken("started on a worker that leaves: " + name);
   const room free = options.capacity - UsedBy(worker);
   if (!Fits(start.need, free))
     Broken("worker " + std::to_string(worker) + " is brought over its room");
@@ -208,10 +211,10 @@
   const auto there = w.runs.find(c.ref.task);
   if (there == w.runs.end() || there->second.run != c.ref.run)
     return worker_answer::ok;
-  At(now + Millis(kStopMs), [this, worker, ref = c.ref, life = w.life] {
+  At(now + Millis(kStopMs), [this, worker, ref = c.ref, lives = w.lives] {
     emulated_worker& same = workers[static_cast<size_t>(worker)];
     const auto run = same.runs.find(ref.task);
-    if (same.life == life && run != same.runs.end() &&
+    if (same.lives == lives && run != same.runs.end() &&
         run->second.run == ref.run)
       EndRun(same, ref.task, run_end_kind::stopped);
   });
@@ -285,7 +288,10 @@
     e.info.labels = w.labels;
     e.sequence = ++w.announcements;
     e.draining = w.draining;
-    Deliver(worker, sidecars[static_cast<size_t>(worker)].lives, e);
+    const emulated_sidecar& s = sidecars[static_cast<size_t>(worker)];
+    if (w.draining && w.leaves_told.value == 0 && s.state == process_state::up)
+      w.leaves_told = now;
+    Deliver(worker, s.lives, e);
   }
   At(now + options.announce_every, [this, worker] { AnnounceWorker(worker); });
 }
--- a/tests/durable_unit_test.cc
+++ b/tests/durable_unit_test.cc
@@ -564,7 +564,7 @@
   size_t jobs = 0;
   size_t completed = 0;
   for (uint64_t seed = 1; seed <= 60; ++seed) {
-    const day_report day = PlaySeededDay(seed);
+    const day_report day = PlaySeededDay({seed});
     INFO("seed " << seed << "; cassiaferry-emulate --replay " << seed);
     for (const violation& v : day.violations)
       UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
@@ -581,7 +581,7 @@
 // of them believes that all is well.
 TEST_CASE("durable_jobs_seeded_one_way_cuts_nothing_broken") {
   for (uint64_t seed = 1; seed <= 40; ++seed) {
-    const day_report day = PlaySeededDay(seed, {}, true);
+    const day_report day = PlaySeededDay({seed, true});
     INFO("seed " << seed << "; cassiaferry-emulate --one_way_cuts --replay "
                  << seed);
     for (const violation& v : day.violations)
