--- a/src/core/keeper_systems.h
+++ b/src/core/keeper_systems.h
@@ -2,8 +2,9 @@
 //
 // Contents
 //   [1] Keeper
-//   [2] Ends
-//   [3] Pace
+//   [2] Lives
+//   [3] Ends
+//   [4] Pace
 
 #ifndef CASSIAFERRY_SRC_CORE_KEEPER_SYSTEMS_H_
 #define CASSIAFERRY_SRC_CORE_KEEPER_SYSTEMS_H_
@@ -26,7 +27,15 @@
 // The run's end is told once the worker lists it, or no longer runs it.
 void StopRun(keeper_state& k, micros now, kept_run& run);
 
-// ---- [2] Ends (keeper_ends.cc) ----------------------------------------------
+// ---- [2] Lives (keeper_lives.cc) --------------------------------------------
+
+// Nothing runs on the worker that this process doesn't know.
+void Open(keeper_state& k);
+// The worker is gone, and with it all that ran there.
+void LoseWorker(keeper_state& k, micros now);
+void Announce(keeper_state& k, micros now, const leased_worker_announced& e);
+
+// ---- [3] Ends (keeper_ends.cc) ----------------------------------------------
 
 void TellEnd(keeper_state& k,
              incarnation owner_name,
@@ -57,7 +66,7 @@
 void CheckLapse(keeper_state& k, micros now);
 std::vector<run_end> UnclaimedEnds(const keeper_state& k, micros now);
 
-// ---- [3] Pace (keeper_pace.cc) ----------------------------------------------
+// ---- [4] Pace (keeper_pace.cc) ----------------------------------------------
 
 void AddProgress(keeper_state& k, micros now, kept_run& run, uint32_t percent);
 void MeasurePace(keeper_state& k, micros now);
