--- a/tests/worker_lives_unit_test.cc
+++ b/tests/worker_lives_unit_test.cc
@@ -325,6 +325,37 @@
   REQUIRE(TakesLeasedWork(k, now));
 }
 
+// What a user sees: a worker that never gets work again. Order: the worker's
+// clock was ahead at an earlier start, whose announcement was held up; it looks
+// newer than the one of now, until an answer tells that it is not.
+TEST_CASE_METHOD(keeper_of_a_life,
+                 "announcement_of_a_start_that_looks_newer_is_taken_back") {
+  Announce(kAgain, 40);
+  Answer(kFirst, {});
+  REQUIRE(k.worker.life == kFirst);
+  AnswerStop();
+  Announce(kFirst, 10);
+  Answer(kFirst, {});
+  Answer(kFirst, {});
+  REQUIRE(TakesLeasedWork(k, now));
+}
+
+// What a user sees: a task that runs twice at a time. Order: the worker is
+// silent for so long that its runs count as lost; it starts again under its id,
+// and orders of before are still under way. The first look keeps them out.
+TEST_CASE_METHOD(keeper_of_a_life,
+                 "worker_silent_its_runs_lost_fence_is_above_their_orders") {
+  const uint64_t before = k.fence;
+  for (int i = 0; i < 20; ++i) {
+    look_answered none = Look(kFirst, {});
+    none.answer = worker_answer::none;
+    TakeKeeperEvent(k, now, none);
+    Tick(Millis(100));
+  }
+  REQUIRE(Told().size() == 1);
+  REQUIRE(Calls<call_look>().back().fence > before);
+}
+
 // What a user sees: a task that runs twice at a time. Order: an end came too
 // late, and the lease must lapse; a start sent by the clock of the life before
 // has given the new one the longest lease there is.
