Clairvoyant bound in the emulator: what no schedule can be above, the loss split by cause

The bound: divisible work, one room, all known beforehand; the work that fits is a polymatroid, so taking jobs by value a unit of work, each by augmenting paths as far as it fits, is optimal; late jobs by 0.8 of what is in time and 0.2 of what is of use. Ruled out: a schedule of whole tasks (no bound); late work as a second kind in one greedy pass (not optimal: a job may be worth moving to its late window).

Checked: cases solved by hand; 200 small cases against all orders, never below; 200 of jobs of one slot, equal; plays never above. The load is drawn by a generator of its own, so that the same jobs come whatever is done with them.

--- a/src/apps/emulate_main.cc
+++ b/src/apps/emulate_main.cc
@@ -4,7 +4,8 @@
 // Contents
 //   [1] Days of faults
 //   [2] Orders side by side
-//   [3] Main
+//   [3] Against the bound
+//   [4] Main
 
 #include <gflags/gflags.h>
 
@@ -21,6 +22,10 @@
 DEFINE_bool(workers_keep_ids,
             false,
             "with --days or --replay: workers start again under their ids");
+DEFINE_bool(bound,
+            false,
+            "play the load against the most that any schedule could earn, and "
+            "split what is lost by cause");
 DEFINE_uint64(seed, 1, "first seed");
 DEFINE_uint64(seeds, 3, "how many seeds");
 DEFINE_double(load, 1.0, "offered load against the room of all workers");
@@ -128,6 +133,63 @@
   return broken == 0 ? kExitOk : kExitFailed;
 }
 
+// ---- [3] Against the bound --------------------------------------------------
+
+// The same jobs played with one source of loss less after the other.
+struct bound_plays {
+  play_result ours;
+  play_result exact;      // estimates
+  play_result undelayed;  // too: no message takes time
+  play_result alone;      // too: one entry knows all that is placed
+};
+
+bound_plays PlayAgainstBound(uint64_t seed) {
+  load_options o = OptionsOf(seed, leased_order::fair_share);
+  bound_plays plays;
+  o.with_bound = true;
+  plays.ours = PlayLoad(o);
+  o.with_bound = false;
+  o.exact_estimates = true;
+  plays.exact = PlayLoad(o);
+  o.no_delay = true;
+  plays.undelayed = PlayLoad(o);
+  o.world.entries = 1;
+  o.world.domains = 1;
+  plays.alone = PlayLoad(o);
+  return plays;
+}
+
+// What one source less has gained is lost by that source; a little below 0 says
+// that it costs nothing and the plays differ by chance.
+void PrintBound(uint64_t seed, const bound_plays& p) {
+  const play_result& r = p.ours;
+  std::printf(
+      "%4llu  %.3f  %.3f  %.3f/%.3f  %.3f/%.3f  %6.3f %9.3f %6.3f %7.3f "
+      "%5.3f\n",
+      static_cast<unsigned long long>(seed), r.value, r.bound, r.worst_second,
+      r.bound_worst_second, r.worst_queue, r.bound_worst_queue, 1 - r.bound,
+      p.exact.value - r.value, p.undelayed.value - p.exact.value,
+      p.alone.value - p.undelayed.value, r.bound - p.alone.value);
+}
+
+int PlayBound() {
+  std::printf(
+      "seed  value  bound  worst second worst queue  lost by: room estimates "
+      " delay entries order\n");
+  size_t broken = 0;
+  for (uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_seeds; ++seed) {
+    const bound_plays plays = PlayAgainstBound(seed);
+    PrintBound(seed, plays);
+    for (const play_result* r :
+         {&plays.ours, &plays.exact, &plays.undelayed, &plays.alone})
+      broken += r->broken;
+  }
+  std::printf(
+      "worst: ours/of a schedule that has the most in time; order: what one "
+      "entry that knows all, at once, still loses\n");
+  return broken == 0 ? kExitOk : kExitFailed;
+}
+
 }  // namespace
 }  // namespace cassiaferry
 
@@ -139,6 +201,8 @@
       "cassiaferry-emulate --days 200 [--seed 1]\nPlays days of faults and "
       "prints the seed of each on which a promise is broken; --replay SEED "
       "prints what happens on it.\n"
+      "cassiaferry-emulate --bound [--load 1.2]\nPlays load against the most "
+      "that any schedule could earn, and splits what is lost by cause.\n"
       "cassiaferry-emulate --experiment examples/overload.json\nPlays arms "
       "side by side and prints medians and spreads; FILE.csv gets each play.",
       &argc, &argv);
@@ -148,5 +212,5 @@
     return Replay();
   if (FLAGS_days != 0)
     return PlayDays();
-  return PlayOrders();
+  return FLAGS_bound ? PlayBound() : PlayOrders();
 }
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -276,6 +276,9 @@
   std::vector<int64_t> retry_after_ms;            // told with refusals
   double cpu_used_us =
       0;  // thousandths of a core, over all workers, integrated
+  // The same of the room that there was, slot by slot from time 0: of workers
+  // that are up and at work, slow ones by what they get done.
+  std::vector<double> room_us;
 
  private:
   using action = std::function<void()>;
@@ -335,6 +338,7 @@
   uint32_t PercentOf(const worker_run& run) const;
   void EndRun(emulated_worker& w, const leased_task& task, run_end_kind how);
   void AdvanceWorker(int worker);
+  void NoteRoom(const emulated_worker& w);
   void AnnounceWorker(int worker);
   void CheckStart(int worker, const run_start& start);
 
@@ -372,6 +376,8 @@
   micros store_trouble_until_{0};  // of any entry with the store
 };
 
+constexpr micros kRoomSlot = Millis(10);  // of world::room_us
+
 // Queues of the emulated configuration, by name.
 constexpr const char* kQueues[] = {"bookings", "quick", "long", "pings"};
 
--- a/src/emulator/load_play.cc
+++ b/src/emulator/load_play.cc
@@ -3,11 +3,15 @@
 // Contents
 //   [1] Load
 //   [2] Result
+//   [3] Bound
 
 #include "load_play.h"
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+
+#include "value_bound.h"
 
 namespace cassiaferry::emulator {
 
@@ -35,6 +39,10 @@
 constexpr double kSlowTimes = 5.6;
 constexpr micros kWarmUp = Millis(2000);
 constexpr micros kAfter = Millis(8000);
+constexpr uint64_t kLoadSeed = 1'000'003;  // beside the world's
+constexpr micros kNoDelay{1};
+constexpr double kUsefulTimes = 3;  // a job late by more is of no use
+constexpr double kLateShare = 0.2;  // of its value, if it is of use
 
 double MeanWork() {  // of a job: thousandths of a core times milliseconds
   double work = 0;
@@ -43,30 +51,41 @@
   return work;
 }
 
-double Spread(world& w, double mean, double spread) {
+// Draws the load, apart from what the world draws: the same jobs come at the
+// same times, whatever is done with them.
+using load_random = std::mt19937_64;
+
+double Spread(load_random& random, double mean, double spread) {
   std::lognormal_distribution<double> d(-spread * spread / 2, spread);
-  return mean * d(w.random);
+  return mean * d(random);
 }
 
-emulated_job DrawJob(world& w, int number, const queue_load& q) {
+double MeanMs(const emulated_job& job) {
+  double sum = 0;
+  for (int64_t ms : job.run_ms)
+    sum += static_cast<double>(ms);
+  return sum / static_cast<double>(job.run_ms.size());
+}
+
+emulated_job DrawJob(load_random& random, int number, const queue_load& q) {
   const auto tasks =
-      static_cast<uint32_t>(std::max(1.0, Spread(w, q.tasks, 0.4)));
-  const double base = Spread(w, q.run_ms, 0.4);
-  const auto cpu = static_cast<int64_t>(Spread(w, kCpu, 0.2));
+      static_cast<uint32_t>(std::max(1.0, Spread(random, q.tasks, 0.4)));
+  const double base = Spread(random, q.run_ms, 0.4);
+  const auto cpu = static_cast<int64_t>(Spread(random, kCpu, 0.2));
   emulated_job job = MakeJob("job-" + std::to_string(number), tasks, cpu, 1);
   job.queue = q.name;
   job.wait_ms = 1900 + 2 * static_cast<int64_t>(base);
   job.run_ms.clear();
   for (uint32_t i = 0; i < tasks; ++i)
     job.run_ms.push_back(
-        std::max<int64_t>(1, static_cast<int64_t>(Spread(w, base, 0.15))));
+        std::max<int64_t>(1, static_cast<int64_t>(Spread(random, base, 0.15))));
   job.steps[0].expected_ms =
-      std::max<int64_t>(1, static_cast<int64_t>(Spread(w, base, 0.3)));
+      std::max<int64_t>(1, static_cast<int64_t>(Spread(random, base, 0.3)));
   return job;
 }
 
-const queue_load& DrawQueue(world& w) {
-  double draw = std::uniform_real_distribution<double>(0, 1)(w.random);
+const queue_load& DrawQueue(load_random& random) {
+  double draw = std::uniform_real_distribution<double>(0, 1)(random);
   for (const queue_load& q : kLoads) {
     draw -= q.share;
     if (draw < 0)
@@ -76,11 +95,10 @@
 }
 
 // An entry of the domain. Entries are dealt to domains in turn.
-int EntryIn(world& w, int domain) {
-  const int domains = w.options.domains;
-  const int entries = (w.options.entries - domain + domains - 1) / domains;
-  const auto pick =
-      static_cast<int>(w.random() % static_cast<uint64_t>(entries));
+int EntryIn(const world_options& o, load_random& random, int domain) {
+  const int domains = o.domains;
+  const int entries = (o.entries - domain + domains - 1) / domains;
+  const auto pick = static_cast<int>(random() % static_cast<uint64_t>(entries));
   return domain + pick * domains;
 }
 
@@ -89,12 +107,18 @@
   const double jobs_per_ms = o.load * room_ms / MeanWork();
   std::exponential_distribution<double> gap(jobs_per_ms);
   const micros until = w.now + micros{static_cast<int64_t>(o.seconds * 1e6)};
+  load_random random(o.world.seed + kLoadSeed);
   int number = 0;
   while (w.now < until) {
-    w.Pass(micros{static_cast<int64_t>(gap(w.random) * 1000)});
-    emulated_job job = DrawJob(w, number++, DrawQueue(w));
+    w.Pass(micros{static_cast<int64_t>(gap(random) * 1000)});
+    const queue_load& queue = DrawQueue(random);
+    emulated_job job = DrawJob(random, number++, queue);
+    if (o.exact_estimates)
+      job.steps[0].expected_ms =
+          std::max<int64_t>(1, static_cast<int64_t>(MeanMs(job)));
     if (o.callers_stay_near)
-      w.SubmitTo(EntryIn(w, number % o.world.domains), std::move(job));
+      w.SubmitTo(EntryIn(o.world, random, number % o.world.domains),
+                 std::move(job));
     else
       w.Submit(std::move(job));
   }
@@ -109,12 +133,30 @@
   return static_cast<double>(longest);
 }
 
-void Judge(const emulated_job& job, play_result& result, double& owed) {
+double ObjectiveMs(const emulated_job& job) {
+  return 1.6 * LongestMs(job) + 60;
+}
+
+size_t QueueOf(const emulated_job& job) {
   size_t queue = 0;
   while (job.queue != kLoads[queue].name)
     ++queue;
+  return queue;
+}
+
+// Share of its value that the caller got.
+double EarnedShare(const emulated_job& job) {
+  const double took =
+      static_cast<double>((job.answered - job.first_sent).value) / 1000;
+  if (job.fate != job_fate::completed || took > kUsefulTimes * ObjectiveMs(job))
+    return 0;
+  return took <= ObjectiveMs(job) ? 1 : kLateShare;
+}
+
+void Judge(const emulated_job& job, play_result& result, double& owed) {
+  const size_t queue = QueueOf(job);
   queue_result& q = result.queues[queue];
-  const double objective = 1.6 * LongestMs(job) + 60;
+  const double objective = ObjectiveMs(job);
   const double took =
       static_cast<double>((job.answered - job.first_sent).value) / 1000;
   const double value = kLoads[queue].value;
@@ -124,17 +166,16 @@
   domain.owed += value;
   ++q.asked;
   result.resent += job.sends > 1 ? 1 : 0;
+  const double earned = value * EarnedShare(job);
+  result.value += earned;
+  domain.earned += earned;
   if (job.fate != job_fate::completed) {
     ++q.refused;
     result.refused_after += took / objective;
   } else if (took <= objective) {
     ++q.on_time;
-    result.value += value;
-    domain.earned += value;
-  } else if (took <= 3 * objective) {
+  } else if (earned > 0) {
     ++q.late;
-    result.value += value / 5;
-    domain.earned += value / 5;
   }
 }
 
@@ -146,11 +187,76 @@
   return frames;
 }
 
+// ---- [3] Bound --------------------------------------------------------------
+
+bound_job BoundJob(const emulated_job& job) {
+  const auto cpu = static_cast<double>(job.steps[0].need.cpu);
+  const auto tasks = static_cast<double>(job.run_ms.size());
+  bound_job b;
+  b.arrival = job.first_sent;
+  b.objective = micros{static_cast<int64_t>(ObjectiveMs(job) * 1000)};
+  b.value = kLoads[QueueOf(job)].value;
+  b.work = tasks * MeanMs(job) * 1000 * cpu;
+  b.most_cpu = tasks * cpu;
+  return b;
+}
+
+// Least share of the value owed, over groups of jobs.
+class least_share {
+ public:
+  void Add(size_t group, double owed, double earned) {
+    groups_[group].owed += owed;
+    groups_[group].earned += earned;
+  }
+  double Least() const {
+    double least = 1;
+    for (const auto& [group, sum] : groups_)
+      least = std::min(least, sum.earned / sum.owed);
+    return least;
+  }
+
+ private:
+  std::map<size_t, domain_result> groups_;
+};
+
+void CompareWithBound(const world& w, play_result& result) {
+  std::vector<bound_job> jobs;
+  for (const auto& [id, job] : w.jobs)
+    jobs.push_back(BoundJob(job));
+  const bound_room room{micros{0}, kRoomSlot, w.room_us};
+  const value_bound bound = BoundValue(jobs, room, kUsefulTimes, kLateShare);
+  result.bound = bound.most / bound.owed;
+  least_share seconds;
+  least_share queues;
+  least_share bound_seconds;
+  least_share bound_queues;
+  size_t i = 0;
+  for (const auto& [id, job] : w.jobs) {
+    const double owed = jobs[i].value;
+    const double earned = owed * EarnedShare(job);
+    const double most = owed * bound.share_in_time[i++];
+    const auto second = static_cast<size_t>(job.first_sent.value / 1'000'000);
+    seconds.Add(second, owed, earned);
+    bound_seconds.Add(second, owed, most);
+    queues.Add(QueueOf(job), owed, earned);
+    bound_queues.Add(QueueOf(job), owed, most);
+  }
+  result.worst_second = seconds.Least();
+  result.worst_queue = queues.Least();
+  result.bound_worst_second = bound_seconds.Least();
+  result.bound_worst_queue = bound_queues.Least();
+}
+
 }  // namespace
 
 play_result PlayLoad(const load_options& o) {
   world_options options = o.world;
   options.capacity = kWorkerRoom;
+  if (o.no_delay) {
+    options.link_delay = kNoDelay;
+    options.worker_delay = kNoDelay;
+    options.caller_delay = kNoDelay;
+  }
   world w(options);
   w.Pass(kWarmUp);
   for (int i = 0; i < o.hanging; ++i)
@@ -186,6 +292,8 @@
         entry.core->leased.counters
             .runs_ended[static_cast<size_t>(run_end_kind::never_started)];
   result.broken = w.violations.size();
+  if (o.with_bound)
+    CompareWithBound(w, result);
   return result;
 }
 
--- a/src/emulator/load_play.h
+++ b/src/emulator/load_play.h
@@ -22,6 +22,9 @@
   // Callers are spread evenly over the failure domains, and reach the entries
   // of theirs alone. Else they reach any.
   bool callers_stay_near = false;
+  bool exact_estimates = false;  // entries are told how long tasks take
+  bool no_delay = false;         // what is sent is there at once
+  bool with_bound = false;       // compare with it: takes longer than the play
 };
 
 struct queue_result {
@@ -41,8 +44,13 @@
   queue_result queues[kLoadQueues];
   std::vector<domain_result> domains;  // of the entries that callers reached
   double frames_per_job = 0;           // taken and sent by entries
-  double value = 0;  // earned against owed; late counts a fifth
-  double used = 0;   // of the room, while the load lasted
+  double value = 0;               // earned against owed; late counts a fifth
+  double bound = 0;               // what no schedule of these jobs can be above
+  double worst_second = 1;        // value of what came in one second, the least
+  double worst_queue = 1;         // of the jobs of one queue, the least
+  double bound_worst_second = 1;  // in a schedule that reaches the most ...
+  double bound_worst_queue = 1;   // ... value in time
+  double used = 0;                // of the room, while the load lasted
   uint64_t starts = 0;
   uint64_t refusals = 0;     // runs that a sidecar refused
   double refused_after = 0;  // mean time to a refusal, against the objective
--- a/src/emulator/worker_world.cc
+++ b/src/emulator/worker_world.cc
@@ -259,6 +259,17 @@
   return a;
 }
 
+void world::NoteRoom(const emulated_worker& w) {
+  if (!w.up || w.hangs)
+    return;
+  const auto slot = static_cast<size_t>(now.value / kRoomSlot.value);
+  if (room_us.size() <= slot)
+    room_us.resize(slot + 1, 0);
+  room_us[slot] +=
+      static_cast<double>(options.capacity.cpu * kWorkerStep.value) /
+      w.slowness;
+}
+
 void world::AdvanceWorker(int worker) {
   emulated_worker& w = workers[static_cast<size_t>(worker)];
   std::vector<leased_task> due;
@@ -266,6 +277,7 @@
   if (lapsed)
     NoteLapse(worker);
   cpu_used_us += static_cast<double>(UsedBy(worker).cpu * kWorkerStep.value);
+  NoteRoom(w);
   for (auto& [task, run] : w.runs) {
     if (w.hangs) {
       run.since = run.since + kWorkerStep;
