--- a/tests/value_bound_unit_test.cc
+++ b/tests/value_bound_unit_test.cc
@@ -119,6 +119,7 @@
   std::mt19937_64 random(7);
   for (int round = 0; round < 200; ++round) {
     std::vector<bound_job> jobs;
+    jobs.reserve(5);
     for (int i = 0; i < 5; ++i) {
       const auto ms = static_cast<int64_t>(10 + random() % 60);
       jobs.push_back(Job(static_cast<int64_t>(random() % 80),
@@ -136,6 +137,7 @@
   std::mt19937_64 random(11);
   for (int round = 0; round < 200; ++round) {
     std::vector<bound_job> jobs;
+    jobs.reserve(6);
     for (int i = 0; i < 6; ++i)
       jobs.push_back(Job(static_cast<int64_t>(10 * (random() % 4)),
                          static_cast<int64_t>(10 * (1 + random() % 3)), 10,
--- a/tests/worker_lives_unit_test.cc
+++ b/tests/worker_lives_unit_test.cc
@@ -104,15 +104,15 @@
 // A keeper whose worker has listed twelve ends and runs one task more.
 struct keeper_of_a_life {
   keeper_of_a_life() : k(MakeKeeper(keeper_options{})) {
-    Announce(kFirst, 9);
-    Answer(kFirst, {});
+    Announce(first, 9);
+    Answer(first, {});
     lease_orders orders;
     orders.echo = now.value;
-    orders.starts.push_back({kRun, {1000, 10, 0}, 100, "", true});
+    orders.starts.push_back({the_run, {1000, 10, 0}, 100, "", true});
     TakeOrders(k, now, kOwner, orders);
     TakeKeeperEvent(k, now,
-                    run_start_answered{kRun, kFirst, worker_answer::ok});
-    look_answered look = Look(kFirst, {kRun});
+                    run_start_answered{the_run, first, worker_answer::ok});
+    look_answered look = Look(first, {the_run});
     look.ended.push_back({12, {{"earlier", 0, 0, 0}, 1}, run_end_kind::done});
     TakeKeeperEvent(k, now, look);
     Tick();
@@ -152,8 +152,8 @@
   }
 
   void AnswerStop() {
-    TakeKeeperEvent(k, now,
-                    run_stop_answered{kRun, k.worker.life, worker_answer::ok});
+    TakeKeeperEvent(
+        k, now, run_stop_answered{the_run, k.worker.life, worker_answer::ok});
     Tick();
   }
 
@@ -178,9 +178,9 @@
   }
 
   static constexpr incarnation kOwner{7};
-  const worker_life kFirst{"worker", 1'000'000};
-  const worker_life kAgain{"worker", 1'005'000};
-  const run_ref kRun{{"job", 0, 0, 0}, 1};
+  const worker_life first{"worker", 1'000'000};
+  const worker_life again{"worker", 1'005'000};
+  const run_ref the_run{{"job", 0, 0, 0}, 1};
   micros now = Millis(1000);
   keeper_state k;
 };
@@ -191,16 +191,16 @@
 // task would start elsewhere at once.
 TEST_CASE_METHOD(keeper_of_a_life,
                  "worker_again_runs_are_stopped_before_they_count_as_lost") {
-  Announce(kAgain, 1);
+  Announce(again, 1);
   REQUIRE(Calls<call_run_stop>().size() == 1);
-  REQUIRE(Calls<call_run_stop>()[0].life == kAgain);
-  REQUIRE(Calls<call_run_stop>()[0].ref == kRun);
-  Answer(kAgain, {kRun});
+  REQUIRE(Calls<call_run_stop>()[0].life == again);
+  REQUIRE(Calls<call_run_stop>()[0].ref == the_run);
+  Answer(again, {the_run});
   REQUIRE(Told().empty());
   AnswerStop();
-  Answer(kAgain, {kRun});  // sent before the stop was answered
+  Answer(again, {the_run});  // sent before the stop was answered
   REQUIRE(Told().empty());
-  Answer(kAgain, {});
+  Answer(again, {});
   const std::vector<run_end> told = Told();
   REQUIRE(told.size() == 1);
   REQUIRE(told[0].how == run_end_kind::lost);
@@ -213,13 +213,13 @@
                  "worker_again_a_run_being_stopped_is_stopped_once_more") {
   lease_orders orders;
   orders.echo = now.value;
-  orders.stops.push_back(kRun);
+  orders.stops.push_back(the_run);
   TakeOrders(k, now, kOwner, orders);
   AnswerStop();
   k.actions.clear();
-  Announce(kAgain, 1);
+  Announce(again, 1);
   REQUIRE(Calls<call_run_stop>().size() == 1);
-  Answer(kAgain, {});
+  Answer(again, {});
   REQUIRE(Told().empty());
 }
 
@@ -228,10 +228,10 @@
 // the fence of the first call to it keeps them out.
 TEST_CASE_METHOD(keeper_of_a_life, "worker_again_fence_is_above_earlier_ones") {
   const uint64_t before = k.fence;
-  Announce(kAgain, 1);
+  Announce(again, 1);
   REQUIRE(Calls<call_run_stop>()[0].fence > before);
   REQUIRE(Calls<call_look>().back().fence > before);
-  REQUIRE(Calls<call_look>().back().life == kAgain);
+  REQUIRE(Calls<call_look>().back().life == again);
 }
 
 // What a user sees: a task that is done runs again. Order: a look gets no
@@ -239,14 +239,14 @@
 // has, and may not acknowledge its ends by the numbers of the life before.
 TEST_CASE_METHOD(keeper_of_a_life,
                  "look_unanswered_the_next_acknowledges_nothing") {
-  look_answered none = Look(kFirst, {});
+  look_answered none = Look(first, {});
   none.answer = worker_answer::none;
   TakeKeeperEvent(k, now, none);
   k.actions.clear();
   Tick(Millis(100));
   REQUIRE(Calls<call_look>().size() == 1);
   REQUIRE(Calls<call_look>()[0].seen == 0);
-  Answer(kFirst, {kRun});
+  Answer(first, {the_run});
   REQUIRE(Calls<call_look>().back().seen == 12);
 }
 
@@ -255,16 +255,16 @@
 // Until it does nothing starts there; what was ordered before is stopped.
 TEST_CASE_METHOD(keeper_of_a_life,
                  "worker_again_known_by_its_answer_waits_for_what_it_is") {
-  Answer(kAgain, {});
-  REQUIRE(k.worker.life == kAgain);
+  Answer(again, {});
+  REQUIRE(k.worker.life == again);
   REQUIRE(Calls<call_run_stop>().size() == 1);
   AnswerStop();
-  Answer(kAgain, {});
-  Answer(kAgain, {});
+  Answer(again, {});
+  Answer(again, {});
   REQUIRE(Told().size() == 1);
   REQUIRE_FALSE(TakesLeasedWork(k, now));
   REQUIRE_FALSE(ReportFor(k, now, kOwner).worker.has_value());
-  Announce(kAgain, 1);
+  Announce(again, 1);
   REQUIRE(TakesLeasedWork(k, now));
   REQUIRE(ReportFor(k, now, kOwner).worker.has_value());
 }
@@ -274,10 +274,10 @@
 // comes after that of the new one, and after its leaving.
 TEST_CASE_METHOD(keeper_of_a_life,
                  "announcement_of_an_earlier_start_is_passed_over") {
-  Announce(kAgain, 1);
-  Announce(kAgain, 2, true);
-  Announce(kFirst, 10);
-  REQUIRE(k.worker.life == kAgain);
+  Announce(again, 1);
+  Announce(again, 2, true);
+  Announce(first, 10);
+  REQUIRE(k.worker.life == again);
   REQUIRE(k.draining);
 }
 
@@ -285,8 +285,8 @@
 // announcement of an earlier one, under another id, was held up until now.
 TEST_CASE_METHOD(keeper_of_a_life,
                  "announcement_of_a_life_never_met_is_passed_over") {
-  Announce({"earlier", kFirst.started_ms - 1}, 40);
-  REQUIRE(k.worker.life == kFirst);
+  Announce({"earlier", first.started_ms - 1}, 40);
+  REQUIRE(k.worker.life == first);
   REQUIRE(TakesLeasedWork(k, now));
 }
 
@@ -294,18 +294,18 @@
 // said goodbye, and starts again under its id.
 TEST_CASE_METHOD(keeper_of_a_life,
                  "worker_left_and_again_under_its_id_takes_work") {
-  TakeKeeperEvent(k, now, leased_worker_left{kFirst});
+  TakeKeeperEvent(k, now, leased_worker_left{first});
   REQUIRE_FALSE(TakesLeasedWork(k, now));
-  Announce(kAgain, 1);
-  Answer(kAgain, {});
+  Announce(again, 1);
+  Answer(again, {});
   REQUIRE(TakesLeasedWork(k, now));
 }
 
 // Order: the goodbye of the life before was held up.
 TEST_CASE_METHOD(keeper_of_a_life, "goodbye_of_an_earlier_start_ends_nothing") {
-  Announce(kAgain, 1);
-  Answer(kAgain, {kRun});
-  TakeKeeperEvent(k, now, leased_worker_left{kFirst});
+  Announce(again, 1);
+  Answer(again, {the_run});
+  TakeKeeperEvent(k, now, leased_worker_left{first});
   REQUIRE(k.has_worker);
   REQUIRE(Told().empty());
 }
@@ -314,9 +314,9 @@
 // looks like an earlier one's; its answer to a look tells that it is not.
 TEST_CASE_METHOD(keeper_of_a_life,
                  "worker_again_with_its_clock_back_is_known_by_its_answer") {
-  const worker_life back{"worker", kFirst.started_ms - 3'600'000};
+  const worker_life back{"worker", first.started_ms - 3'600'000};
   Announce(back, 1);
-  REQUIRE(k.worker.life == kFirst);
+  REQUIRE(k.worker.life == first);
   Answer(back, {});
   AnswerStop();
   Announce(back, 2);
@@ -330,13 +330,13 @@
 // newer than the one of now, until an answer tells that it is not.
 TEST_CASE_METHOD(keeper_of_a_life,
                  "announcement_of_a_start_that_looks_newer_is_taken_back") {
-  Announce(kAgain, 40);
-  Answer(kFirst, {});
-  REQUIRE(k.worker.life == kFirst);
+  Announce(again, 40);
+  Answer(first, {});
+  REQUIRE(k.worker.life == first);
   AnswerStop();
-  Announce(kFirst, 10);
-  Answer(kFirst, {});
-  Answer(kFirst, {});
+  Announce(first, 10);
+  Answer(first, {});
+  Answer(first, {});
   REQUIRE(TakesLeasedWork(k, now));
 }
 
@@ -347,7 +347,7 @@
                  "worker_silent_its_runs_lost_fence_is_above_their_orders") {
   const uint64_t before = k.fence;
   for (int i = 0; i < 20; ++i) {
-    look_answered none = Look(kFirst, {});
+    look_answered none = Look(first, {});
     none.answer = worker_answer::none;
     TakeKeeperEvent(k, now, none);
     Tick(Millis(100));
@@ -361,7 +361,7 @@
 // has given the new one the longest lease there is.
 TEST_CASE_METHOD(keeper_of_a_life,
                  "worker_again_leases_may_be_the_longest_there_are") {
-  Announce(kAgain, 1);
+  Announce(again, 1);
   REQUIRE(k.lease_over >= now + PassedAfter(k.options.bounds.longest));
 }
 
