--- a/include/cassiaferry/entry.h
+++ b/include/cassiaferry/entry.h
@@ -26,6 +26,7 @@
 #include <vector>
 
 #include "cassiaferry/claims.h"
+#include "cassiaferry/closings.h"
 #include "cassiaferry/config.h"
 #include "cassiaferry/ids.h"
 #include "cassiaferry/leased_jobs.h"
@@ -99,6 +100,12 @@
 struct config_received {
   config_document document;  // checked
 };
+struct closings_read {  // by this entry, where operators write them
+  domain_closings closings;
+};
+struct closings_told {  // by another entry
+  domain_closings closings;
+};
 struct peers_changed {
   std::vector<std::string> link_addresses;
 };
@@ -122,6 +129,8 @@
                                  sidecar_frame_received,
                                  sidecar_link_lost,
                                  config_received,
+                                 closings_read,
+                                 closings_told,
                                  peers_changed,
                                  entry_drain_requested,
                                  wall_clock,
@@ -159,6 +168,10 @@
 struct config_adopted {  // newer than before: to be told to peers
   config_document document;
 };
+struct closings_adopted {  // newer than before: to be told to peers
+  domain_closings closings;
+  bool changed = false;  // other domains than before
+};
 struct entry_drained {};
 struct answer_cancelled {
   ticket_id ticket;
@@ -172,6 +185,7 @@
                                   send_to_sidecar,
                                   close_link,
                                   config_adopted,
+                                  closings_adopted,
                                   entry_drained,
                                   claim_action,
                                   answer_leased_job,
@@ -247,9 +261,12 @@
   micros last_sent{0};
   micros active_since{0};  // the stream carries more than news; 0: it doesn't
   micros lost_since{0};
-  order_key told = kNoBacklog;  // backlog that the sidecar believes, absolute
-  config_version version;       // that the sidecar has
-  bool wants_config = false;    // that this entry has
+  order_key told = kNoBacklog;    // backlog that the sidecar believes, absolute
+  config_version version;         // that the sidecar has
+  bool wants_config = false;      // that this entry has
+  closings_version closed_as_of;  // that the sidecar has
+  closings_version closings_sent;  // on this stream
+  bool closed = false;             // its failure domain is closed for new work
   worker_health health;
   entry_frame outbox;  // filled during a tick, sent at its end
   bool must_send = false;
@@ -299,6 +316,7 @@
   micros drain_since{0};
   config_document document;
   configuration config;
+  closings_state closings;
   std::vector<std::string> peers;
   int64_t wall_ms = 0;
   uint64_t next_job = 1;
--- a/include/cassiaferry/lease_keeper.h
+++ b/include/cassiaferry/lease_keeper.h
@@ -238,6 +238,7 @@
   uint64_t sequence = 0;  // newest announcement of this life
   bool draining = false;
   bool stopping = false;  // this process stops: nothing new starts
+  bool closed = false;    // so does nothing in its failure domain
   std::set<worker_life> past_lives;
   uint64_t lives_met = 0;
   bool opened = false;  // nothing runs there that this process doesn't know
@@ -291,6 +292,8 @@
 void TickKeeper(keeper_state& k, micros now);
 
 bool TakesLeasedWork(const keeper_state& k, micros now);
+// Whether the failure domain is closed for new work. What runs goes on.
+void SetClosed(keeper_state& k, bool closed);
 // What no run has, and none waits for: below 0 while some wait.
 room FreeRoom(const keeper_state& k);
 // What one owner may use now.
--- a/include/cassiaferry/messages.h
+++ b/include/cassiaferry/messages.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "cassiaferry/closings.h"
 #include "cassiaferry/ids.h"
 #include "cassiaferry/leases.h"
 #include "cassiaferry/verdict.h"
@@ -78,6 +79,8 @@
       peers;               // addresses of entries to dial, with each heartbeat
   config_version version;  // newest configuration known
   std::optional<config_document> config;
+  closings_version closed_as_of;  // newest state of the closings known
+  std::optional<domain_closings> closings;
   std::optional<lease_orders> orders;  // of leased runs
 };
 
@@ -105,6 +108,7 @@
   std::string name;  // from settings; unique among sidecars
   std::string failure_domain;
   config_version version;
+  closings_version closed_as_of;
 };
 
 enum class task_fate : uint8_t { never_started, running, resolved };
@@ -165,7 +169,9 @@
       false;  // the sidecar stops; nothing of this entry is left on it
   config_version version;
   std::optional<config_document> config;
-  bool wants_config = false;  // the entry's is newer: it is to send it
+  bool wants_config = false;      // the entry's is newer: it is to send it
+  closings_version closed_as_of;  // newest state of the closings known
+  std::optional<domain_closings> closings;
   std::optional<lease_reports> reports;  // of leased runs
 };
 
--- a/include/cassiaferry/sidecar.h
+++ b/include/cassiaferry/sidecar.h
@@ -22,6 +22,7 @@
 #include <variant>
 #include <vector>
 
+#include "cassiaferry/closings.h"
 #include "cassiaferry/ids.h"
 #include "cassiaferry/lease_keeper.h"
 #include "cassiaferry/messages.h"
@@ -130,10 +131,11 @@
 struct entry_link {
   std::string address;
   link_state state = link_state::idle;
-  link_epoch epoch;        // of the newest stream dialled
-  incarnation entry;       // known once up
-  config_version version;  // that the entry told last
-  micros relay_at{0};      // when it gets a newer one; 0: it is not behind
+  link_epoch epoch;               // of the newest stream dialled
+  incarnation entry;              // known once up
+  config_version version;         // that the entry told last
+  closings_version closed_as_of;  // ... too
+  micros relay_at{0};  // when it gets what is newer here; 0: it is not behind
   micros last_heard{0};
   micros last_sent{0};
   micros next_dial{0};
@@ -207,6 +209,7 @@
   uint64_t next_queued = 0;
   config_document config;
   struct config_search config_search;
+  closings_state closings;
   keeper_state keeper;
   counters metrics;
   std::vector<sidecar_action> actions;  // of the tick in progress
--- a/model/check.sh
+++ b/model/check.sh
@@ -46,5 +46,7 @@
 for m in NO_VOUCH NO_ECHO NO_LATE NO_LEASE NO_CANCEL NO_SETTLE FROM_HEARD; do expect violated leases $m; done
 expect holds journal
 for m in NO_CHAIN CONFIRM_EARLY SCAN_FIRST ACK_EARLY NO_GIVE_UP NO_LAPSE; do expect violated journal $m; done
+expect holds closings
+for m in BY_ARRIVAL NO_AS_OF OWN_NUMBER NO_GATE NO_RELAY; do expect violated closings $m; done
 echo "model: $passed as expected, $failed not"
 [ "$failed" = 0 ]
--- a/src/apps/ctl_main.cc
+++ b/src/apps/ctl_main.cc
@@ -4,6 +4,8 @@
 //   diff DIR              what applying would change
 //   apply DIR [--wait]    make it the configuration
 //   get                   print the configuration
+//   close DOMAIN          nothing new starts in the failure domain [--wait]
+//   reopen DOMAIN         ... until then [--wait]
 //   status                members, load, policies, refusals
 //   explain JOB           what became of a job
 //
@@ -11,8 +13,9 @@
 //   [1] The entry
 //   [2] The folder
 //   [3] Commands on configuration
-//   [4] Status
-//   [5] Main
+//   [4] Closed failure domains
+//   [5] Status
+//   [6] Main
 
 #include <gflags/gflags.h>
 
@@ -40,8 +43,9 @@
              "version that the folder was made from; -1: the one in force");
 DEFINE_bool(wait,
             false,
-            "apply: return once the change is in force everywhere");
-DEFINE_int32(wait_s, 30, "apply --wait: give up after so many seconds");
+            "apply, close, reopen: return once the change is in force "
+            "everywhere");
+DEFINE_int32(wait_s, 30, "--wait: give up after so many seconds");
 
 namespace cassiaferry {
 namespace {
@@ -139,18 +143,24 @@
   return kExitOk;
 }
 
+// A version of what operators have written, as /v1/status names it.
+struct wanted_version {
+  const char* field;  // of entries and of sidecars
+  uint64_t version;
+};
+
 bool EntryHas(const std::string& address,
-              uint64_t version,
+              const wanted_version& wanted,
               std::string& missing) {
   const json status =
       json::parse(Call(address, "GET", "/v1/status").body, nullptr, false);
   if (!status.is_object() ||
-      status.value("config_version", uint64_t{0}) < version) {
+      status.value(wanted.field, uint64_t{0}) < wanted.version) {
     missing = "entry " + address;
     return false;
   }
   for (const json& worker : status["workers"]) {
-    if (worker["link"] != "up" || worker["config_version"] >= version)
+    if (worker["link"] != "up" || worker[wanted.field] >= wanted.version)
       continue;
     missing = "sidecar " + worker["name"].get<std::string>();
     return false;
@@ -160,24 +170,24 @@
 
 // In force everywhere: at this entry, at every entry it knows, and at every
 // sidecar linked to any of them.
-bool InForce(uint64_t version, std::string& missing) {
+bool InForce(const wanted_version& wanted, std::string& missing) {
   const json status =
       json::parse(Call(FLAGS_entry, "GET", "/v1/status").body, nullptr, false);
-  if (!EntryHas(FLAGS_entry, version, missing))
+  if (!EntryHas(FLAGS_entry, wanted, missing))
     return false;
   const json peers = status.value("peer_http", json::array());
   return std::all_of(peers.begin(), peers.end(), [&](const json& peer) {
-    return EntryHas(peer, version, missing);
+    return EntryHas(peer, wanted, missing);
   });
 }
 
-int WaitUntilInForce(uint64_t version) {
+int WaitUntilInForce(const wanted_version& wanted) {
   const auto start = std::chrono::steady_clock::now();
   std::string missing;
-  while (!InForce(version, missing)) {
+  while (!InForce(wanted, missing)) {
     if (std::chrono::steady_clock::now() - start >
         std::chrono::seconds(FLAGS_wait_s))
-      Die(kExitFailed, "ctl: version " + std::to_string(version) +
+      Die(kExitFailed, "ctl: version " + std::to_string(wanted.version) +
                            " is accepted, but not in force at " + missing);
     std::this_thread::sleep_for(kPoll);
   }
@@ -203,7 +213,7 @@
                      {"If-Match: " + std::to_string(base)}));
   const uint64_t version = accepted["version"];
   std::printf("accepted as version %lu\n", version);
-  return FLAGS_wait ? WaitUntilInForce(version) : kExitOk;
+  return FLAGS_wait ? WaitUntilInForce({"config_version", version}) : kExitOk;
 }
 
 int Get() {
@@ -212,7 +222,28 @@
   return kExitOk;
 }
 
-// ---- [4] Status -------------------------------------------------------------
+// ---- [4] Closed failure domains ---------------------------------------------
+
+int SetDomain(const std::string& domain, bool closed) {
+  const json body = {{"closed", closed}};
+  const json now =
+      Expect200(Call(FLAGS_entry, "PUT", "/v1/domains/" + domain, body.dump()));
+  const uint64_t version = now["version"];
+  std::printf("%s is %s as of version %lu\n", domain.c_str(),
+              closed ? "closed for new work" : "open", version);
+  return FLAGS_wait ? WaitUntilInForce({"closed_domains_version", version})
+                    : kExitOk;
+}
+
+int Close(const std::string& domain) {
+  return SetDomain(domain, true);
+}
+
+int Reopen(const std::string& domain) {
+  return SetDomain(domain, false);
+}
+
+// ---- [5] Status -------------------------------------------------------------
 
 void PrintCounters(const char* title, const json& counters) {
   if (counters.empty())
@@ -251,14 +282,15 @@
               "config");
   for (const json& w : workers) {
     const bool ejected = w["ejected"];
-    std::printf("%-16s %-8s %-9s %-10s %6d %6d %7d %6s %8ld%s\n",
+    std::printf("%-16s %-8s %-9s %-10s %6d %6d %7d %6s %8ld%s%s\n",
                 w["name"].get<std::string>().c_str(),
                 w["failure_domain"].get<std::string>().c_str(),
                 w["link"].get<std::string>().c_str(),
                 w["upstream_state"].get<std::string>().c_str(),
                 w["slots"].get<int>(), w["free_slots"].get<int>(),
                 w["unresolved"].get<int>(), Rounded(w["speed"]).c_str(),
-                w["config_version"].get<long>(), ejected ? "  ejected" : "");
+                w["config_version"].get<long>(), ejected ? "  ejected" : "",
+                w["closed"].get<bool>() ? "  closed" : "");
   }
 }
 
@@ -270,6 +302,10 @@
               s["ready"].get<bool>() ? "ready" : "not ready",
               s["config_version"].get<long>(),
               s["config_author"].get<std::string>().c_str());
+  for (const json& domain : s["closed_domains"])
+    std::printf("closed for new work as of version %ld: %s\n",
+                s["closed_domains_version"].get<long>(),
+                domain.get<std::string>().c_str());
   std::printf(
       "jobs: %ld open, %ld received, %ld complete, %ld failed; tasks: %ld "
       "waiting, %ld out; claims open: %ld\n",
@@ -293,14 +329,13 @@
   return kExitOk;
 }
 
-// ---- [5] Main ---------------------------------------------------------------
+// ---- [6] Main ---------------------------------------------------------------
 
 int RunCommand(const std::vector<std::string>& words) {
   const std::map<std::string, std::function<int(const std::string&)>>
-      with_argument = {{"validate", Validate},
-                       {"diff", Diff},
-                       {"apply", Apply},
-                       {"explain", Explain}};
+      with_argument = {{"validate", Validate}, {"diff", Diff},
+                       {"apply", Apply},       {"close", Close},
+                       {"reopen", Reopen},     {"explain", Explain}};
   const std::map<std::string, std::function<int()>> alone = {
       {"get", Get}, {"status", Status}};
   if (words.size() == 2 && with_argument.count(words[0]) != 0)
@@ -308,8 +343,8 @@
   if (words.size() == 1 && alone.count(words[0]) != 0)
     return alone.at(words[0])();
   Die(kExitBadInput,
-      "ctl: use: validate DIR | diff DIR | apply DIR [--wait] | get | status | "
-      "explain JOB");
+      "ctl: use: validate DIR | diff DIR | apply DIR [--wait] | get | close "
+      "DOMAIN [--wait] | reopen DOMAIN [--wait] | status | explain JOB");
 }
 
 }  // namespace
@@ -319,7 +354,7 @@
   using namespace cassiaferry;  // NOLINT(google-build-using-namespace)
   InitApp(
       "cassiaferry-ctl validate DIR | diff DIR | apply DIR [--wait] | get | "
-      "status | explain JOB",
+      "close DOMAIN | reopen DOMAIN | status | explain JOB",
       &argc, &argv);
   return RunCommand({argv + 1, argv + argc});
 }
--- a/src/apps/emulate_main.cc
+++ b/src/apps/emulate_main.cc
@@ -22,6 +22,9 @@
 DEFINE_bool(workers_keep_ids,
             false,
             "with --days or --replay: workers start again under their ids");
+DEFINE_bool(closes_domains,
+            false,
+            "with --days or --replay: failure domains are closed and opened");
 DEFINE_bool(bound,
             false,
             "play the load against the most that any schedule could earn, and "
@@ -61,7 +64,8 @@
 }
 
 day_options DayOf(uint64_t seed) {
-  return {seed, FLAGS_one_way_cuts, FLAGS_workers_keep_ids};
+  return {seed, FLAGS_one_way_cuts, FLAGS_workers_keep_ids,
+          FLAGS_closes_domains};
 }
 
 int PlayDays() {
--- a/src/apps/entry_app.cc
+++ b/src/apps/entry_app.cc
@@ -225,6 +225,8 @@
     links_->Close(close->link);
   } else if (auto* adopted = std::get_if<config_adopted>(&action)) {
     AdoptDocument(adopted->document);
+  } else if (auto* closings = std::get_if<closings_adopted>(&action)) {
+    AdoptClosings(*closings);
   } else if (auto* claim = std::get_if<claim_action>(&action)) {
     ActClaim(*claim);
   } else {
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -53,6 +53,9 @@
   leased_order order = leased_order::fair_share;
 };
 
+// Row of the platform's table that holds the closed failure domains.
+constexpr char kClosingsRow[] = "closed_domains";
+
 // A caller's name of a durable job; apart from the names that entries give.
 bool IsDurableId(const std::string& id);
 
@@ -99,6 +102,7 @@
   void TakeCall(const http_request& r);  // on the control thread
   void SubmitCall(const http_request& r, const queue_config& queue);
   void TakeConfigRow(const stored_row& row);
+  void TakeOperatorRows(const rows_reply& reply, bool whole);
   void CallStore(const store_call& call);
   void PublishAddress();
   void LogDecision(const leased_decision& decision);
@@ -141,6 +145,22 @@
   void FinishFirstRound();  // when every source of configuration has answered
                             // or failed
 
+  // Closed failure domains (entry_closings.cc).
+  bool OnDomains(const http_request& r);
+  void SetDomain(ticket_id ticket,
+                 const std::string& domain,
+                 bool close,
+                 int tries_left);
+  void WriteDomain(ticket_id ticket,
+                   const std::string& domain,
+                   bool close,
+                   int tries_left,
+                   const std::optional<table_row>& row,
+                   std::set<std::string> domains);
+  void TakeClosingsRow(const table_row& row);
+  void TakePeerClosings(const nlohmann::json& told);
+  void AdoptClosings(const closings_adopted& adopted);
+
   bool MayStop();
 
   // Actions (entry_app.cc); on the control thread.
@@ -161,6 +181,7 @@
   std::unique_ptr<http_server> ready_server_;
   row_store store_;
   std::unique_ptr<row_watch> config_watch_;  // control thread only
+  domain_closings closings_read_;            // too; from the operator's rows
   bool store_connected_ = false;             // control thread only
   bool address_published_ = false;           // control thread only
   bool publishing_ = false;                  // control thread only
@@ -173,6 +194,7 @@
 
   std::mutex mutex_;                       // guards what follows
   config_document document_;               // newest known to any thread
+  domain_closings closings_;               // in force
   std::map<std::string, peer_row> peers_;  // by HTTP address
   int first_round_open_ = 1;               // sources not yet heard at the start
   bool first_round_done_ = false;
--- a/src/apps/entry_http.cc
+++ b/src/apps/entry_http.cc
@@ -156,7 +156,7 @@
       Refuse(r.ticket, NotRun(reason::bad_request, "not a job id"));
     return;
   }
-  if (!OnView(r) && !OnConfig(r) && !OnInternal(r))
+  if (!OnView(r) && !OnConfig(r) && !OnDomains(r) && !OnInternal(r))
     Refuse(r.ticket, NotRun(reason::not_found,
                             "no such path here: " + r.method + " " + r.path));
 }
@@ -192,6 +192,7 @@
       http_response response;
       response.content_type = "text/plain; version=0.0.4";
       response.body = PrometheusText(state_.metrics, state_.policies);
+      response.body += ClosingsPrometheusText(state_.closings);
       if (HasLeasedJobs())
         response.body += LeasedPrometheusText(state_.leased);
       http_->Answer(ticket, response);
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -72,7 +72,9 @@
   config_watch_ = std::make_unique<row_watch>(
       store_, watch,
       [this](std::function<void()> f) { loop_.Call(std::move(f)); },
-      [this](const stored_row& row) { TakeConfigRow(row); });
+      [this](const rows_reply& reply, bool whole) {
+        TakeOperatorRows(reply, whole);
+      });
 }
 
 void entry_app::Reload(const entry_settings& settings) {
@@ -167,6 +169,25 @@
   loop_.Post(config_received{*document});
 }
 
+void entry_app::TakeOperatorRows(const rows_reply& reply, bool whole) {
+  std::vector<domain_word> words;
+  for (const stored_row& row : reply.rows) {
+    TakeConfigRow(row);
+    const std::optional<domain_word> word = platform::ReadDomainRow(row);
+    if (!word)
+      continue;
+    if (word->word == closing_word::unreadable)
+      LogEvent(kPart, "closing unreadable",
+               {{"domain", word->domain}, {"row_version", row.version}});
+    words.push_back(*word);
+  }
+  if (!whole && words.empty())
+    return;
+  closings_read_ = ReadClosings(closings_read_, words, whole,
+                                closings_version{reply.version});
+  loop_.Post(closings_read{closings_read_});
+}
+
 void entry_app::CallStore(const store_call& call) {
   const auto answer = [this, id = call.call](rows_reply reply) {
     loop_.Post(store_answered{id, std::move(reply)});
--- a/src/apps/entry_platform.cc
+++ b/src/apps/entry_platform.cc
@@ -241,9 +241,11 @@
 
 void entry_app::PollConfig() {
   platform_.Read(
-      {kConfigRow},
+      {kConfigRow, kClosingsRow},
       [this](bool ok, const std::vector<std::optional<table_row>>& rows) {
-        if (ok && rows.size() == 1 && rows[0]) {
+        if (ok && rows.size() == 2 && rows[1])
+          TakeClosingsRow(*rows[1]);
+        if (ok && rows.size() == 2 && rows[0]) {
           const uint64_t version =
               ParseRow(*rows[0]).value("version", uint64_t{0});
           bool newer = false;
@@ -269,6 +271,8 @@
   for (const auto& [address, peer] : peers_)
     greeting["peers"].push_back(
         {{"http", peer.http_address}, {"link", peer.link_address}});
+  greeting["closings"] = {{"version", closings_.version.value},
+                          {"domains", closings_.domains}};
   if (document_.version > known)
     greeting["document"] = {{"version", document_.version.value},
                             {"change_id", document_.change_id},
@@ -305,6 +309,7 @@
   }
   for (const json& other : greeting.value("peers", json::array()))
     LearnPeer(other.value("http", ""), other.value("link", ""));
+  TakePeerClosings(greeting.value("closings", json()));
   if (!greeting.contains("document"))
     return;
   const json& d = greeting["document"];
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -261,6 +261,8 @@
         {"free_slots", FreeSlots(state_)},
         {"queued", state_.queue.size()},
         {"config_version", state_.config.version.value},
+        {"closed_domains", state_.closings.known.domains},
+        {"closed_domains_version", state_.closings.known.version.value},
         {"entries", std::move(entries)}};
     Reply(ticket, 200, status.dump());
   });
@@ -270,6 +272,7 @@
   loop_.Call([this, ticket] {
     state_.metrics.bytes_sent = links_.BytesSent();
     std::string text = PrometheusText(state_.metrics, {});
+    text += ClosingsPrometheusText(state_.closings);
     if (state_.options.keeps_leases)
       text += KeeperPrometheusText(state_.keeper, Now());
     Reply(ticket, 200, text, "text/plain; version=0.0.4");
@@ -384,7 +387,10 @@
   directory_ = std::make_unique<row_watch>(
       platform::MakeRowStore(http_, store), options,
       [this](std::function<void()> f) { loop_.Call(std::move(f)); },
-      [this](const stored_row& row) { TakeDirectoryRow(row); });
+      [this](const rows_reply& reply, bool) {
+        for (const stored_row& row : reply.rows)
+          TakeDirectoryRow(row);
+      });
 }
 
 void sidecar_app::Act(sidecar_action& action) {
--- /dev/null
+++ b/src/core/closings.cc
@@ -0,0 +1,77 @@
+// Failure domains that are closed for new work.
+
+#include "cassiaferry/closings.h"
+
+#include <utility>
+
+#include "cassiaferry/metrics.h"
+
+namespace cassiaferry {
+
+namespace {
+
+bool Adopt(closings_state& s, const domain_closings& newer) {
+  const bool changed = s.known.domains != newer.domains;
+  s.known = newer;
+  return changed;
+}
+
+}  // namespace
+
+domain_closings ReadClosings(const domain_closings& before,
+                             const std::vector<domain_word>& words,
+                             bool whole,
+                             closings_version version) {
+  domain_closings read{version,
+                       whole ? std::set<std::string>() : before.domains};
+  for (const domain_word& w : words) {
+    const bool was_closed = before.domains.count(w.domain) != 0;
+    if (w.word == closing_word::closed ||
+        (w.word == closing_word::unreadable && was_closed))
+      read.domains.insert(w.domain);
+    else
+      read.domains.erase(w.domain);
+  }
+  return read;
+}
+
+// A state that is what was known already keeps its number: told anew by each
+// process that starts, it would travel to all others for nothing.
+bool TakeReadClosings(closings_state& s, domain_closings read) {
+  if (read.version < s.read.version)
+    return false;
+  s.read = std::move(read);
+  const bool newer = s.read.version > s.known.version;
+  return newer && s.read.domains != s.known.domains && Adopt(s, s.read);
+}
+
+bool TakeToldClosings(closings_state& s, const domain_closings& told) {
+  if (told.version <= s.known.version)
+    return false;
+  const bool outdated =
+      told.version <= s.read.version && told.domains != s.read.domains;
+  return Adopt(s, outdated ? s.read : told);
+}
+
+bool IsClosed(const closings_state& s, const std::string& domain) {
+  return s.known.domains.count(domain) != 0;
+}
+
+std::string ToText(const domain_closings& closings) {
+  std::string text;
+  for (const std::string& domain : closings.domains)
+    text += (text.empty() ? "" : " ") + domain;
+  return text.empty() ? "none" : text;
+}
+
+std::string ClosingsPrometheusText(const closings_state& s) {
+  std::string out;
+  AppendMetric(out, "cassiaferry_closings_version", "",
+               static_cast<double>(s.known.version.value));
+  for (const std::string& domain : s.known.domains)
+    AppendMetric(out, "cassiaferry_domain_closed", "domain=\"" + domain + "\"",
+                 1);
+  return out;
+}
+
+}  // namespace cassiaferry
--- a/src/core/entry.cc
+++ b/src/core/entry.cc
@@ -43,6 +43,8 @@
   void operator()(sidecar_frame_received& e) { TakeSidecarFrame(s, now, e); }
   void operator()(sidecar_link_lost& e) { LoseLink(s, now, e.link); }
   void operator()(config_received& e) { AdoptConfig(s, e.document); }
+  void operator()(closings_read& e) { TakeClosingsRead(s, e.closings); }
+  void operator()(closings_told& e) { TakeClosingsTold(s, e.closings); }
   void operator()(peers_changed& e) {
     TakePeers(s, std::move(e.link_addresses));
   }
@@ -168,6 +170,8 @@
           {"queued", w.load.queued},
           {"unresolved", w.unresolved.size()},
           {"ejected", w.health.ejected_until > now},
+          {"closed", w.closed},
+          {"closed_domains_version", w.closed_as_of.value},
           {"speed", w.health.speed},
           {"config_version", w.version.value}};
 }
@@ -202,21 +206,24 @@
 }  // namespace
 
 nlohmann::json StatusOf(const entry_state& s, micros now) {
-  nlohmann::json j = {{"entry", s.options.name},
-                      {"incarnation", ToHex(s.options.self.value)},
-                      {"failure_domain", s.options.failure_domain},
-                      {"ready", IsReady(s)},
-                      {"draining", s.draining},
-                      {"config_version", s.document.version.value},
-                      {"config_author", s.document.author},
-                      {"peers", s.peers},
-                      {"jobs", s.jobs.size()},
-                      {"waiting_tasks", s.waiting_tasks},
-                      {"sent_tasks", s.sent_tasks},
-                      {"jobs_received", s.metrics.jobs_received},
-                      {"jobs_complete", s.metrics.jobs_complete},
-                      {"jobs_failed", s.metrics.jobs_failed},
-                      {"open_claims", s.claims.claims.size()}};
+  nlohmann::json j = {
+      {"entry", s.options.name},
+      {"incarnation", ToHex(s.options.self.value)},
+      {"failure_domain", s.options.failure_domain},
+      {"ready", IsReady(s)},
+      {"draining", s.draining},
+      {"config_version", s.document.version.value},
+      {"config_author", s.document.author},
+      {"closed_domains", s.closings.known.domains},
+      {"closed_domains_version", s.closings.known.version.value},
+      {"peers", s.peers},
+      {"jobs", s.jobs.size()},
+      {"waiting_tasks", s.waiting_tasks},
+      {"sent_tasks", s.sent_tasks},
+      {"jobs_received", s.metrics.jobs_received},
+      {"jobs_complete", s.metrics.jobs_complete},
+      {"jobs_failed", s.metrics.jobs_failed},
+      {"open_claims", s.claims.claims.size()}};
   j["refused"] = NonZero<reason>(s.metrics.refused);
   j["retried"] = NonZero<retry_reason>(s.metrics.retried);
   j["records"] = NonZero<record_kind>(s.metrics.records);
--- a/src/core/entry_health.cc
+++ b/src/core/entry_health.cc
@@ -135,7 +135,7 @@
 }
 
 bool TakesTasks(const worker_row& worker, micros now) {
-  return worker.state == worker_link::up &&
+  return worker.state == worker_link::up && !worker.closed &&
          worker.load.state == upstream_state::ready &&
          worker.health.ejected_until <= now;
 }
--- a/src/core/entry_links.cc
+++ b/src/core/entry_links.cc
@@ -86,7 +86,7 @@
   w.reserved = 0;
   w.told = kNoBacklog;
   ForgetProbes(s, id);
-  LoseLeaseLink(s, id);
+  SuspendPlacing(s, id);
 }
 
 // ---- [3] Greeting -----------------------------------------------------------
@@ -115,6 +115,9 @@
       entry_hello{s.options.self, s.options.link_address, Unresolved(w)};
   frame.peers = s.peers;
   frame.version = s.document.version;
+  frame.closed_as_of = s.closings.known.version;
+  if (w.closed_as_of < s.closings.known.version)
+    frame.closings = s.closings.known;
   return frame;
 }
 
@@ -136,6 +139,8 @@
   w.link = link;
   w.epoch = frame.epoch;
   w.version = frame.hello->version;
+  w.closed_as_of = frame.hello->closed_as_of;
+  w.closed = IsClosed(s.closings, w.failure_domain);
   w.wants_config = false;
   w.last_heard = now;
   w.last_sent = now;
@@ -146,6 +151,7 @@
   entry_frame greeting = MakeGreeting(s, w);
   if (s.leased.options.enabled)
     GreetLeases(s, id, same_life, greeting);
+  w.closings_sent = s.closings.known.version;
   s.actions.push_back(send_to_sidecar{link, std::move(greeting)});
 }
 
@@ -298,8 +304,11 @@
   w.last_heard = now;
   w.version = std::max(w.version, frame.version);
   w.wants_config = w.wants_config || frame.wants_config;
+  w.closed_as_of = std::max(w.closed_as_of, frame.closed_as_of);
   if (frame.config)
     AdoptConfig(s, *frame.config);
+  if (frame.closings)
+    TakeClosingsTold(s, *frame.closings);
   if (!frame.hello)
     TakeBody(s, now, id, frame);
   if (frame.goodbye)
@@ -322,6 +331,42 @@
   s.actions.push_back(config_adopted{document});
 }
 
+namespace {
+
+// Sidecars learn at once: they are the gate, and refuse what entries with older
+// news still send. Reports that are on their way say that they take work; what
+// they say from now on counts (TakeReports).
+void ApplyClosings(entry_state& s, bool changed) {
+  if (changed) {
+    // What can't be served any more is refused in this tick.
+    s.leased.last_refusal = {};
+    for (size_t i = 0; i < s.workers.size(); ++i) {
+      worker_row& w = s.workers[i];
+      w.closed = IsClosed(s.closings, w.failure_domain);
+      w.must_send = w.must_send || w.state == worker_link::up;
+      if (w.closed)
+        SuspendPlacing(s, worker_id{static_cast<uint32_t>(i)});
+    }
+  }
+  s.actions.push_back(closings_adopted{s.closings.known, changed});
+}
+
+}  // namespace
+
+void TakeClosingsRead(entry_state& s, const domain_closings& read) {
+  const closings_version before = s.closings.known.version;
+  const bool changed = TakeReadClosings(s.closings, read);
+  if (s.closings.known.version != before)
+    ApplyClosings(s, changed);
+}
+
+void TakeClosingsTold(entry_state& s, const domain_closings& told) {
+  const closings_version before = s.closings.known.version;
+  const bool changed = TakeToldClosings(s.closings, told);
+  if (s.closings.known.version != before)
+    ApplyClosings(s, changed);
+}
+
 // ---- [7] Silence and loss ---------------------------------------------------
 
 void LoseLink(entry_state& s, micros now, link_id link) {
@@ -390,6 +435,11 @@
   if (w.wants_config && w.version < s.document.version)
     frame.config = s.document;
   w.wants_config = false;
+  frame.closed_as_of = s.closings.known.version;
+  if (std::max(w.closed_as_of, w.closings_sent) < s.closings.known.version) {
+    frame.closings = s.closings.known;
+    w.closings_sent = s.closings.known.version;
+  }
 }
 
 uint32_t WaitingTasks(const entry_state& s, const worker_row& w) {
--- a/src/core/entry_systems.h
+++ b/src/core/entry_systems.h
@@ -64,6 +64,10 @@
                       const sidecar_frame_received& event);
 // Takes a newer, valid configuration; an older or invalid one changes nothing.
 void AdoptConfig(entry_state& s, const config_document& document);
+// What operators have closed, as read where they write it, or as told by
+// another process.
+void TakeClosingsRead(entry_state& s, const domain_closings& read);
+void TakeClosingsTold(entry_state& s, const domain_closings& told);
 void LoseLink(entry_state& s, micros now, link_id link);
 void CheckWorkers(entry_state& s, micros now);
 void FlushWorkers(entry_state& s, micros now);
@@ -105,7 +109,8 @@
                  worker_id worker,
                  bool same_life,
                  entry_frame& frame);
-void LoseLeaseLink(entry_state& s, worker_id worker);
+// Nothing is placed there until its next report says that it takes work.
+void SuspendPlacing(entry_state& s, worker_id worker);
 // Runs, or ends of them, of this entry are open there.
 bool LeasesActive(const entry_state& s, worker_id worker);
 // Failure guarded against: starts go down with a stream that is dead in this
--- a/src/core/frame_bytes.cc
+++ b/src/core/frame_bytes.cc
@@ -20,6 +20,10 @@
   return document ? document->json.size() / kPackedTimes + kRecordBytes : 0;
 }
 
+size_t Bytes(const std::optional<domain_closings>& closings) {
+  return closings ? kRecordBytes * (1 + closings->domains.size()) : 0;
+}
+
 // Tasks of one job that follow each other share its payload.
 size_t Bytes(const std::vector<run_start>& starts) {
   size_t bytes = 0;
@@ -48,7 +52,7 @@
 }  // namespace
 
 size_t FrameBytes(const entry_frame& frame) {
-  size_t bytes = kFrameOverhead + Bytes(frame.config);
+  size_t bytes = kFrameOverhead + Bytes(frame.config) + Bytes(frame.closings);
   for (const start_record& start : frame.starts)
     bytes += start.payload.size() + kStartBytes;
   bytes += kRecordBytes * (frame.cancels.size() + frame.probes.size() +
@@ -61,7 +65,7 @@
 }
 
 size_t FrameBytes(const sidecar_frame& frame) {
-  size_t bytes = kFrameOverhead + Bytes(frame.config);
+  size_t bytes = kFrameOverhead + Bytes(frame.config) + Bytes(frame.closings);
   for (const result_record& result : frame.results)
     bytes += result.output.size() + kRecordBytes;
   bytes += kRecordBytes * (frame.rejects.size() + frame.offers.size());
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -567,10 +567,18 @@
 
 bool TakesLeasedWork(const keeper_state& k, micros now) {
   return k.announced && k.opened && k.has_clock && !k.draining && !k.stopping &&
-         k.lapsing_until.value == 0 &&
+         !k.closed && k.lapsing_until.value == 0 &&
          now - k.last_answer <= k.options.suspect_after;
 }
 
+void SetClosed(keeper_state& k, bool closed) {
+  if (k.closed == closed)
+    return;
+  k.closed = closed;
+  for (auto& [name, owner] : k.owners)
+    owner.due = true;
+}
+
 bool HasRuns(const keeper_state& k, incarnation owner) {
   return std::any_of(k.runs.begin(), k.runs.end(), [&](const auto& row) {
     return row.second.owner == owner && row.second.state != run_state::stopping;
--- a/src/core/leased_admission.cc
+++ b/src/core/leased_admission.cc
@@ -104,12 +104,12 @@
 
 // ---- [2] Refusals -----------------------------------------------------------
 
-namespace {
-
 bool MayRefuse(const leased_job& job) {
   return !job.started && job.durable.stage == durable_stage::none;
 }
 
+namespace {
+
 // Under lasting overload a job that ends late takes the room of one that could
 // have been in time, and that one waits and ends late as well. Load: 1.4 times
 // what fits, one worker of eleven at a standstill, 6 of 100 orders lost: 0.69
--- a/src/core/leased_admission.h
+++ b/src/core/leased_admission.h
@@ -33,6 +33,9 @@
 
 // ---- [2] Refusals -----------------------------------------------------------
 
+// Nothing of the job has run, and nobody was told that it will.
+bool MayRefuse(const leased_job& job);
+
 // Those of `order` (as ServeOrder gave it) that have not started and are to be
 // refused now: by the work that stands before them they can't be of use any
 // more, or they can't be in time and the admission rule asks for that. Each
--- /dev/null
+++ b/src/core/leased_closings.cc
@@ -0,0 +1,84 @@
+// Leased jobs while failure domains are closed for new work.
+//
+// Contents
+//   [1] Work that only closed domains could do
+//   [2] Room there
+
+#include <algorithm>
+
+#include "cassiaferry/leased_jobs.h"
+#include "entry_systems.h"
+#include "leased_admission.h"
+#include "leased_systems.h"
+
+namespace cassiaferry {
+
+namespace {
+
+// ---- [1] Work that only closed domains could do -----------------------------
+
+bool OnlyClosedCouldRun(const entry_state& s,
+                        const std::string& upstream,
+                        const leased_step& step) {
+  bool any = false;
+  for (uint32_t i = 0; i < s.leased.workers.size(); ++i) {
+    const leased_worker& w = s.leased.workers[i];
+    const bool could = w.known && w.info.upstream == upstream &&
+                       Fits(step.need, w.largest) && HasLabel(w, step.label);
+    if (could && !s.workers[i].closed)
+      return false;
+    any = any || could;
+  }
+  return any;
+}
+
+}  // namespace
+
+bool IsShutOut(const entry_state& s, const leased_job& job) {
+  return !s.closings.known.domains.empty() &&
+         std::any_of(job.steps.begin(), job.steps.end(),
+                     [&](const leased_step& step) {
+                       return OnlyClosedCouldRun(s, job.queue.upstream, step);
+                     });
+}
+
+// Nobody knows when a domain is opened again; many callers should not return at
+// one moment.
+failure ShutOutFailure(entry_state& s) {
+  constexpr int64_t kRetryMs = 1000;
+  constexpr int64_t kSpreadMs = 1000;
+  const auto spread = static_cast<int64_t>(s.random() % kSpreadMs);
+  return {verdict::not_run, reason::no_worker,
+          "every worker that could run it is in a closed failure domain",
+          kRetryMs + spread};
+}
+
+void RefuseShutOut(entry_state& s, micros now) {
+  std::vector<leased_seq> shut_out;
+  for (leased_seq seq : s.leased.waiting) {
+    const leased_job& job = s.leased.jobs.at(seq);
+    if (MayRefuse(job) && IsShutOut(s, job))
+      shut_out.push_back(seq);
+  }
+  for (leased_seq seq : shut_out)
+    Conclude(s, now, s.leased.jobs.at(seq), leased_outcome::refused,
+             ShutOutFailure(s));
+}
+
+// ---- [2] Room there ---------------------------------------------------------
+
+int64_t CpuInUseOnClosed(const entry_state& s) {
+  int64_t cpu = 0;
+  for (uint32_t i = 0; i < s.leased.workers.size(); ++i) {
+    if (!s.workers[i].closed)
+      continue;
+    for (const auto& [ref, seq] : s.leased.workers[i].open) {
+      const auto job = s.leased.jobs.find(seq);
+      if (job != s.leased.jobs.end())
+        cpu += job->second.steps[ref.task.step].need.cpu;
+    }
+  }
+  return cpu;
+}
+
+}  // namespace cassiaferry
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -391,6 +391,10 @@
     SubmitDurableJob(s, now, std::move(job));
     return;
   }
+  if (IsShutOut(s, job)) {
+    RefuseTicket(s, event.ticket, job.id, ShutOutFailure(s));
+    return;
+  }
   if (!FitsBeforeStop(s, job)) {
     RefuseTicket(
         s, event.ticket, job.id,
--- a/src/core/leased_systems.h
+++ b/src/core/leased_systems.h
@@ -6,7 +6,8 @@
 //   [3] Ends
 //   [4] Workers
 //   [5] Choosing and placing
-//   [6] Durable jobs
+//   [6] Closed failure domains
+//   [7] Durable jobs
 
 #ifndef CASSIAFERRY_SRC_CORE_LEASED_SYSTEMS_H_
 #define CASSIAFERRY_SRC_CORE_LEASED_SYSTEMS_H_
@@ -142,7 +143,18 @@
 // together.
 int64_t RetryAfterMs(entry_state& s);
 
-// ---- [6] Durable jobs (durable_jobs.cc, durable_adoption.cc) ----------------
+// ---- [6] Closed failure domains (leased_closings.cc) ------------------------
+
+// A step of the job could run on workers of closed domains alone.
+bool IsShutOut(const entry_state& s, const leased_job& job);
+failure ShutOutFailure(entry_state& s);
+// Refuses what waits, has not started, and is shut out.
+void RefuseShutOut(entry_state& s, micros now);
+// Room that this entry's runs hold there, thousandths of a core: it comes back
+// to nobody.
+int64_t CpuInUseOnClosed(const entry_state& s);
+
+// ---- [7] Durable jobs (durable_jobs.cc, durable_adoption.cc) ----------------
 
 void SubmitDurableJob(entry_state& s, micros now, leased_job job);
 // Every task of the job is done, or one has failed for good, or it is
--- a/src/core/leased_tick.cc
+++ b/src/core/leased_tick.cc
@@ -122,10 +122,13 @@
   if (s.leased.waiting.empty() || now - s.leased.last_refusal < kEvery)
     return;
   s.leased.last_refusal = now;
+  if (!s.closings.known.domains.empty())
+    RefuseShutOut(s, now);
   const std::vector<leased_seq> order = ServeOrder(s.leased, now);
   const bool settled = now - s.leased.grown_at > kSettledAfterGrowth;
   // Without a rate, only what no room could save is hopeless.
-  const int64_t free = settled ? FreeCpu(s) : kUnknownRate;
+  const int64_t free =
+      settled ? FreeCpu(s) - CpuInUseOnClosed(s) : kUnknownRate;
   const std::vector<leased_seq> hopeless = Hopeless(s.leased, order, free, now);
   if (hopeless.empty())
     return;
--- a/src/core/leased_workers.cc
+++ b/src/core/leased_workers.cc
@@ -288,7 +288,7 @@
          now - w.in_flight.front().sent > s.options.timing.silence;
 }
 
-void LoseLeaseLink(entry_state& s, worker_id id) {
+void SuspendPlacing(entry_state& s, worker_id id) {
   leased_worker& w = WorkerOf(s, id);
   w.takes_work = false;
 }
@@ -352,7 +352,7 @@
   w.stamp = reports.stamp;
   w.heard = now;
   NoteFrame(s.leased.late, AboveLeast(w.gap, now, now.value - reports.stamp));
-  w.takes_work = reports.takes_work;
+  w.takes_work = reports.takes_work && !s.workers[id.value].closed;
   w.free = reports.free;
   w.pace = reports.pace / 1000.0;
   if (!IsSick(s, w))
--- a/src/core/sidecar.cc
+++ b/src/core/sidecar.cc
@@ -33,7 +33,8 @@
 }
 
 bool TakesWork(const sidecar_state& s) {
-  return s.state == upstream_state::ready && !s.draining;
+  return s.state == upstream_state::ready && !s.draining &&
+         !IsClosed(s.closings, s.options.failure_domain);
 }
 
 entry_link* LinkOf(sidecar_state& s, const entry_memory& entry) {
@@ -368,7 +369,7 @@
     return;
   }
   link.last_heard = now;
-  NoteConfigVersion(s, now, event.link, frame);
+  NoteOperatorState(s, now, event.link, frame);
   for (const std::string& address : frame.peers)
     LearnAddress(s, address, false);
   if (frame.hello)
@@ -409,6 +410,12 @@
   RejectQueuedTasks(s);
 }
 
+// What waits for a slot in a closed domain is not started there any more.
+void HandBackQueued(sidecar_state& s) {
+  if (!s.queue.empty() && IsClosed(s.closings, s.options.failure_domain))
+    RejectQueuedTasks(s);
+}
+
 void TakeAnnouncement(sidecar_state& s, micros now, const upstream_info& info) {
   s.upstream = info;
   s.last_announced = now;
@@ -437,7 +444,7 @@
 
 sidecar_hello MakeHello(const sidecar_state& s) {
   return {s.options.self, s.options.name, s.options.failure_domain,
-          s.config.version};
+          s.config.version, s.closings.known.version};
 }
 
 void Dial(sidecar_state& s, micros now, entry_id id) {
@@ -453,6 +460,7 @@
   frame.epoch = link.epoch;
   frame.hello = MakeHello(s);
   frame.version = s.config.version;
+  frame.closed_as_of = s.closings.known.version;
   s.actions.push_back(send_to_entry{id, std::move(frame)});
 }
 
@@ -563,6 +571,7 @@
     link.state_told = ToldState(s);
     frame.epoch = link.epoch;
     frame.version = s.config.version;
+    frame.closed_as_of = s.closings.known.version;
     frame.load.state = ToldState(s);
     frame.load.free_slots = TakesWork(s) ? FreeSlots(s) : 0;
     frame.load.queued = static_cast<uint32_t>(s.queue.size());
@@ -775,11 +784,12 @@
   for (sidecar_event& event : events)
     std::visit(event_taker{s, now}, event);
   CheckUpstream(s, now);
+  HandBackQueued(s);
   ExpireQueued(s, now);
   ExpireOffers(s, now);
   CheckLinks(s, now);
   AskForConfig(s, now);
-  RelayConfig(s, now);
+  RelayOperatorState(s, now);
   StopOrphans(s, now);
   ForgetEntries(s, now);
   ServeSlots(s, now);
--- a/src/core/sidecar_config.cc
+++ b/src/core/sidecar_config.cc
@@ -1,5 +1,6 @@
-// The configuration at a sidecar: asked for from one entry, kept, and passed on
-// to entries that lack it.
+// What operators have written, at a sidecar: the configuration, asked for from
+// one entry, and the closed failure domains, which come unasked; kept, and
+// passed on to entries that lack them.
 //
 // Entries tell the version that they know with every frame, and the document
 // only to those that ask. Failure guarded against: each entry sends each change
@@ -49,6 +50,23 @@
   return holders.empty() ? nullptr : holders[s.random() % holders.size()];
 }
 
+bool IsBehind(const sidecar_state& s, const entry_link& link) {
+  return link.version < s.config.version ||
+         link.closed_as_of < s.closings.known.version;
+}
+
+void TakeClosings(sidecar_state& s, const domain_closings& told) {
+  if (!TakeToldClosings(s.closings, told))
+    return;
+  const bool closed = IsClosed(s.closings, s.options.failure_domain);
+  s.actions.emplace_back(keeper_action{
+      keeper_note{"failure domains closed",
+                  ToText(s.closings.known) + ", version " +
+                      std::to_string(s.closings.known.version.value) +
+                      (closed ? ", this one among them" : "")}});
+  SetClosed(s.keeper, closed);
+}
+
 micros RandomWithin(sidecar_state& s, micros time) {
   return micros{
       static_cast<int64_t>(s.random() % static_cast<uint64_t>(time.value))};
@@ -56,12 +74,15 @@
 
 }  // namespace
 
-void NoteConfigVersion(sidecar_state& s,
+void NoteOperatorState(sidecar_state& s,
                        micros now,
                        entry_id id,
                        const entry_frame& frame) {
   entry_link& link = s.links[id.value];
   link.version = frame.version;
+  link.closed_as_of = frame.closed_as_of;
+  if (frame.closings)
+    TakeClosings(s, *frame.closings);
   if (frame.config && frame.config->version > s.config.version)
     s.config = *frame.config;
   config_search& search = s.config_search;
@@ -88,11 +109,12 @@
   holder->must_send = true;
 }
 
-// An entry that knows an older configuration than this sidecar gets it here.
-// That is how an entry started during a platform outage becomes ready.
-void RelayConfig(sidecar_state& s, micros now) {
+// An entry that knows an older state than this sidecar gets it here. That is
+// how an entry started during a platform outage becomes ready, and learns which
+// domains are closed.
+void RelayOperatorState(sidecar_state& s, micros now) {
   for (entry_link& link : s.links) {
-    if (!IsUp(link) || link.version >= s.config.version) {
+    if (!IsUp(link) || !IsBehind(s, link)) {
       link.relay_at = {};
       continue;
     }
@@ -101,7 +123,10 @@
     if (now < link.relay_at)
       continue;
     link.relay_at = now + kRelayAgain;
-    link.outbox.config = s.config;
+    if (link.version < s.config.version)
+      link.outbox.config = s.config;
+    if (link.closed_as_of < s.closings.known.version)
+      link.outbox.closings = s.closings.known;
     link.must_send = true;
   }
 }
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -413,6 +413,8 @@
   if (e.state == process_state::down)
     return;
   e.state = process_state::down;
+  micros& trouble = entry_trouble_until_[entry];
+  trouble = std::max(trouble, now + options.restart_after);
   for (const auto& stream : streams_) {
     if (stream->entry != entry || !stream->open)
       continue;
@@ -447,6 +449,8 @@
   if (s.state == process_state::down)
     return;
   s.state = process_state::down;
+  micros& trouble = sidecar_trouble_until_[sidecar];
+  trouble = std::max(trouble, now + options.restart_after);
   for (const auto& stream : streams_) {
     if (stream->sidecar != sidecar || !stream->open)
       continue;
@@ -483,6 +487,8 @@
 void world::FreezeEntry(int entry, micros time) {
   Log("fault", "freeze " + EntryAddress(entry) + " ms " +
                    std::to_string(ToMillis(time)));
+  micros& trouble = entry_trouble_until_[entry];
+  trouble = std::max(trouble, now + time);
   Freeze(entries[static_cast<size_t>(entry)], time,
          [this, entry] { WakeEntry(entry); });
 }
@@ -490,6 +496,8 @@
 void world::FreezeSidecar(int sidecar, micros time) {
   Log("fault", "freeze sidecar-" + std::to_string(sidecar) + " ms " +
                    std::to_string(ToMillis(time)));
+  micros& trouble = sidecar_trouble_until_[sidecar];
+  trouble = std::max(trouble, now + time);
   Freeze(sidecars[static_cast<size_t>(sidecar)], time,
          [this, sidecar] { WakeSidecar(sidecar); });
 }
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -77,6 +77,7 @@
   processor_costs costs;
   micros cancel_within = Millis(3000);  // nothing of a job starts later
   micros drain_within = Millis(2000);   // nor on a worker that leaves
+  micros close_within = Millis(2000);   // nor in a closed failure domain
   lease_bounds bounds;                  // set from `resend_after` by MakeWorld
 };
 
@@ -252,6 +253,10 @@
                   const char* name,
                   const std::function<void(emulated_store&)>& on);
   void Cancel(const std::string& job);  // through a random entry
+  // Operators close a failure domain for new work, or open it again; entries
+  // that reach the store read it there.
+  void CloseDomain(int domain);
+  void OpenDomain(int domain);
   // What the whole run must have kept to: call it once, at the end.
   void CheckHistories();
   // The connection breaks; its entry sees that after `seen_after`.
@@ -272,6 +277,8 @@
   // Faults, decisions and starts, a line each; empty: nobody reads them.
   std::function<void(const std::string&)> log;
   emulated_store store;
+  domain_closings closings;                       // as operators wrote them
+  std::map<std::string, micros> closed_at;        // since when, by domain
   std::map<leased_task, task_history> histories;  // of durable jobs
   std::vector<int64_t> retry_after_ms;            // told with refusals
   double cpu_used_us =
@@ -359,6 +366,13 @@
   void NoteAck(int worker, uint64_t seen);
   void NoteLapse(int worker);
 
+  // Closed failure domains (closings_world.cc).
+  void WriteClosings();
+  void TellClosings();
+  bool ReachesStore(int entry);
+  micros InTouchSince(int sidecar);
+  void CheckClosed(int sidecar, const call_run_start& call);
+
   void Answered(int entry, const answer_leased_job& answer);
   void Unanswered(const std::string& job, uint64_t ticket);
 
@@ -372,6 +386,10 @@
   cut_table cut_to_entry_;
   std::map<std::pair<int, uint64_t>, std::string> tickets_;  // entry, ticket
   std::map<int, micros> store_cut_until_;                    // by entry
+  std::map<int, micros> entry_trouble_until_;
+  std::map<int, micros> sidecar_trouble_until_;
+  std::map<int, uint64_t> closings_told_;  // life of the entry that was, +1
+  bool tells_closings_ = false;
   std::map<uint64_t, std::function<void(emulated_store&)>> store_faults_;
   micros store_trouble_until_{0};  // of any entry with the store
 };
--- a/src/emulator/seeded_day.cc
+++ b/src/emulator/seeded_day.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int kSteps = 200;
+constexpr int kClosingDomains = 2;
+constexpr uint32_t kSwitchOneIn = 20;  // steps
 constexpr micros kRecovery = Millis(30'000);
 
 // ---- [1] Faults -------------------------------------------------------------
@@ -86,6 +88,17 @@
     w.CrashWorker(worker, time);
 }
 
+// One of the domains is closed, or opened; drawn apart, so that other days stay
+// as they are.
+void SwitchDomain(world& w, std::minstd_rand& draw) {
+  const auto domain =
+      static_cast<int>(draw() % static_cast<uint32_t>(w.options.domains));
+  if (w.closed_at.count(std::to_string(domain)) != 0)
+    w.OpenDomain(domain);
+  else
+    w.CloseDomain(domain);
+}
+
 // ---- [2] Jobs ---------------------------------------------------------------
 
 emulated_job DrawJob(world& w, int number) {
@@ -145,8 +158,10 @@
   options.has_store = true;
   options.one_way_cuts = day.one_way_cuts;
   options.workers_keep_ids = day.workers_keep_ids;
+  options.domains = day.closes_domains ? kClosingDomains : options.domains;
   world w(options);
   w.log = log;
+  std::minstd_rand draw(static_cast<uint32_t>(day.seed) + 1);
   day_report report;
   report.seed = day.seed;
   w.Pass(Millis(1500));
@@ -158,10 +173,14 @@
       AddFault(w);
       ++report.faults;
     }
+    if (day.closes_domains && draw() % kSwitchOneIn == 0)
+      SwitchDomain(w, draw);
     w.Pass(Millis(static_cast<int64_t>(w.random() % 150)));
   }
   for (emulated_worker& worker : w.workers)
     worker.late_share = 0;
+  for (int domain = 0; domain < options.domains; ++domain)
+    w.OpenDomain(domain);
   w.Pass(kRecovery);
   w.CheckHistories();
   report.jobs = w.jobs.size();
--- a/src/emulator/seeded_day.h
+++ b/src/emulator/seeded_day.h
@@ -27,6 +27,8 @@
   // Workers start again under the ids that they had, some within milliseconds,
   // some after they said that they leave.
   bool workers_keep_ids = false;
+  // Operators close failure domains for new work and open them again.
+  bool closes_domains = false;
 };
 
 // One fault, for about `time`, of an entry, a sidecar, a worker or the link
--- a/src/emulator/worker_world.cc
+++ b/src/emulator/worker_world.cc
@@ -71,6 +71,7 @@
   };
   const micros arrives = now + options.worker_delay + extra;
   if (const auto* start = std::get_if<call_run_start>(&call)) {
+    CheckClosed(sidecar, *start);
     time_out(
         start->timeout_ms,
         run_start_answered{start->start.ref, start->life, worker_answer::none});
--- a/src/net/codec.cc
+++ b/src/net/codec.cc
@@ -42,6 +42,17 @@
           document.author(), Unpack(document.packed_json()).value_or("")};
 }
 
+void Write(const domain_closings& closings, wire::DomainClosings* out) {
+  out->set_version(closings.version.value);
+  for (const std::string& domain : closings.domains)
+    out->add_domains(domain);
+}
+
+domain_closings Read(const wire::DomainClosings& closings) {
+  return {closings_version{closings.version()},
+          {closings.domains().begin(), closings.domains().end()}};
+}
+
 // An enum from a peer may hold a value that this build does not know.
 template <typename Enum>
 Enum Bounded(uint32_t value, Enum last) {
@@ -290,6 +301,9 @@
   out.set_version(frame.version.value);
   if (frame.config)
     Write(*frame.config, out.mutable_config());
+  out.set_closed_as_of(frame.closed_as_of.value);
+  if (frame.closings)
+    Write(*frame.closings, out.mutable_closings());
   if (frame.orders)
     Write(*frame.orders, out.mutable_orders());
   return out;
@@ -319,6 +333,9 @@
   f.version = config_version{frame.version()};
   if (frame.has_config())
     f.config = Read(frame.config());
+  f.closed_as_of = closings_version{frame.closed_as_of()};
+  if (frame.has_closings())
+    f.closings = Read(frame.closings());
   if (frame.has_orders())
     f.orders = Read(frame.orders());
   return f;
@@ -393,6 +410,7 @@
     hello->set_name(frame.hello->name);
     hello->set_failure_domain(frame.hello->failure_domain);
     hello->set_version(frame.hello->version.value);
+    hello->set_closed_as_of(frame.hello->closed_as_of.value);
   }
   if (frame.upstream)
     Write(*frame.upstream, out.mutable_upstream());
@@ -415,6 +433,9 @@
   out.set_goodbye(frame.goodbye);
   out.set_version(frame.version.value);
   out.set_wants_config(frame.wants_config);
+  out.set_closed_as_of(frame.closed_as_of.value);
+  if (frame.closings)
+    Write(*frame.closings, out.mutable_closings());
   if (frame.config)
     Write(*frame.config, out.mutable_config());
   if (frame.reports)
@@ -429,7 +450,8 @@
     const wire::SidecarHello& hello = frame.hello();
     f.hello =
         sidecar_hello{incarnation{hello.sidecar()}, hello.name(),
-                      hello.failure_domain(), config_version{hello.version()}};
+                      hello.failure_domain(), config_version{hello.version()},
+                      closings_version{hello.closed_as_of()}};
   }
   if (frame.has_upstream())
     f.upstream = Read(frame.upstream());
@@ -448,6 +470,9 @@
   f.load.starts_seen = frame.starts_seen();
   f.goodbye = frame.goodbye();
   f.wants_config = frame.wants_config();
+  f.closed_as_of = closings_version{frame.closed_as_of()};
+  if (frame.has_closings())
+    f.closings = Read(frame.closings());
   f.version = config_version{frame.version()};
   if (frame.has_config())
     f.config = Read(frame.config());
--- a/src/net/row_watch.cc
+++ b/src/net/row_watch.cc
@@ -16,11 +16,11 @@
 row_watch::row_watch(row_store store,
                      row_watch_options options,
                      post_function post,
-                     row_function on_row)
+                     rows_function on_rows)
     : store_(std::move(store)),
       options_(std::move(options)),
       post_(std::move(post)),
-      on_row_(std::move(on_row)),
+      on_rows_(std::move(on_rows)),
       alive_(std::make_shared<bool>(true)) {}
 
 void row_watch::Tick(micros now) {
@@ -71,8 +71,8 @@
   must_read_ = false;
   loaded_ = loaded_ || whole;
   version_ = std::max(version_, reply.version);
-  for (const stored_row& row : reply.rows)
-    on_row_(row);
+  if (whole || !reply.rows.empty())
+    on_rows_(reply, whole);
 }
 
 }  // namespace cassiaferry
--- a/src/net/row_watch.h
+++ b/src/net/row_watch.h
@@ -37,13 +37,14 @@
 class row_watch {
  public:
   using post_function = std::function<void(std::function<void()>)>;
-  using row_function = std::function<void(const stored_row&)>;
+  using rows_function = std::function<void(const rows_reply&, bool whole)>;
 
-  // `on_row`: each row read, and each changed one, in order.
+  // `on_rows`: the table, if `whole`, or its changes since the last call, in
+  // order, if there are any.
   row_watch(row_store store,
             row_watch_options options,
             post_function post,
-            row_function on_row);
+            rows_function on_rows);
 
   void Tick(micros now);                     // calls the store when it is time
   bool IsLoaded() const { return loaded_; }  // the table was read whole, once
@@ -57,7 +58,7 @@
   row_store store_;
   row_watch_options options_;
   post_function post_;
-  row_function on_row_;
+  rows_function on_rows_;
   bool open_ = false;  // a call is under way
   bool loaded_ = false;
   bool must_read_ = true;
--- /dev/null
+++ b/tests/closings_unit_test.cc
@@ -0,0 +1,544 @@
+// Failure domains that operators close for new work.
+//
+// Contents
+//   [1] Versions
+//   [2] Reading
+//   [3] The gate
+//   [4] Calm
+//   [5] Failures
+//   [6] Tasks without leases
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "core_harness.h"
+#include "emulator/seeded_day.h"
+
+namespace cassiaferry::emulator {
+namespace {
+
+// ---- [1] Versions -----------------------------------------------------------
+
+domain_closings Closings(uint64_t version, std::set<std::string> domains) {
+  return {closings_version{version}, std::move(domains)};
+}
+
+// Guards against news of a closing that overtake those of the reopening.
+TEST_CASE("closings_told_out_of_order_newest_holds") {
+  closings_state s;
+  CHECK(TakeToldClosings(s, Closings(20, {})) == false);
+  CHECK(TakeToldClosings(s, Closings(10, {"a"})) == false);
+  CHECK_FALSE(IsClosed(s, "a"));
+  CHECK(TakeToldClosings(s, Closings(30, {"b"})));
+  CHECK(IsClosed(s, "b"));
+}
+
+// Guards against a closing that is told by one who missed the reopening, to one
+// who missed both.
+TEST_CASE("closings_read_after_both_changes_older_closing_is_passed_over") {
+  closings_state s;
+  TakeReadClosings(s, Closings(5, {}));
+  CHECK_FALSE(TakeReadClosings(s, Closings(40, {})));
+  CHECK_FALSE(TakeToldClosings(s, Closings(10, {"a"})));
+  CHECK_FALSE(IsClosed(s, "a"));
+  // The other one is told.
+  CHECK(s.known == Closings(40, {}));
+}
+
+// Guards against a process cut from the store that holds its old reading
+// against newer news.
+TEST_CASE("closings_told_newer_than_read_hold") {
+  closings_state s;
+  TakeReadClosings(s, Closings(20, {}));
+  CHECK(TakeToldClosings(s, Closings(30, {"a"})));
+  CHECK(IsClosed(s, "a"));
+  // Its next reading is older than what it was told: a feed that lags.
+  CHECK_FALSE(TakeReadClosings(s, Closings(25, {})));
+  CHECK(IsClosed(s, "a"));
+  CHECK(TakeReadClosings(s, Closings(31, {})));
+  CHECK_FALSE(IsClosed(s, "a"));
+}
+
+// Guards against readings of one state, each under its own number, that travel
+// to all processes.
+TEST_CASE("closings_read_unchanged_keep_their_number") {
+  closings_state s;
+  TakeReadClosings(s, Closings(10, {"a"}));
+  TakeReadClosings(s, Closings(50, {"a"}));
+  CHECK(s.known.version.value == 10);
+}
+
+// ---- [2] Reading ------------------------------------------------------------
+
+TEST_CASE("closings_read_whole_names_all_and_no_others") {
+  const domain_closings before = Closings(1, {"a"});
+  const domain_closings read =
+      ReadClosings(before, {{"b", closing_word::closed}}, true, {9});
+  CHECK(read == Closings(9, {"b"}));
+}
+
+TEST_CASE("closings_read_changes_others_stay") {
+  const domain_closings before = Closings(1, {"a", "b"});
+  const domain_closings read = ReadClosings(
+      before, {{"b", closing_word::open}, {"c", closing_word::closed}}, false,
+      {9});
+  CHECK(read == Closings(9, {"a", "c"}));
+}
+
+// Guards against an unreadable row that closes a domain, or opens one.
+TEST_CASE("closings_read_unreadable_changes_nothing") {
+  const domain_closings before = Closings(1, {"a"});
+  for (bool whole : {false, true}) {
+    const domain_closings read = ReadClosings(
+        before,
+        {{"a", closing_word::unreadable}, {"b", closing_word::unreadable}},
+        whole, {9});
+    CHECK(read.domains == before.domains);
+  }
+}
+
+// ---- [3] The gate -----------------------------------------------------------
+
+struct closed_keeper {
+  closed_keeper() : k(MakeKeeper(keeper_options{})) {
+    leased_worker_announced e;
+    e.info.life = {"life"};
+    e.info.capacity = {16'000, 1000, 0};
+    TakeKeeperEvent(k, now, e);
+    TickKeeper(k, now);
+    Look({});
+  }
+
+  static run_ref Ref(const std::string& job) { return {{job, 0, 0, 0}, 1}; }
+
+  void Order(const std::string& job, int64_t cpu, uint32_t expected_ms) {
+    lease_orders orders;
+    orders.echo = now.value;
+    orders.starts.push_back({Ref(job), {cpu, 10, 0}, expected_ms, ""});
+    TakeOrders(k, now, kOwner, orders);
+  }
+
+  void Look(const std::vector<run_ref>& running) {
+    look_answered e;
+    e.life = {"life"};
+    e.answer = worker_answer::ok;
+    e.clock_ms = ToMillis(now);
+    for (const run_ref& ref : running)
+      e.running.push_back({ref, 50});
+    TakeKeeperEvent(k, now, e);
+    TickKeeper(k, now);
+  }
+
+  size_t StartsCalled() const {
+    return static_cast<size_t>(std::count_if(
+        k.actions.begin(), k.actions.end(), [](const keeper_action& a) {
+          return std::holds_alternative<call_run_start>(a);
+        }));
+  }
+
+  // What the owner was told of the job's run; stopped: nothing yet.
+  run_end_kind EndOf(const std::string& job) {
+    for (const told_end& told : k.owners[kOwner].ends) {
+      if (told.end.ref == Ref(job))
+        return told.end.how;
+    }
+    return run_end_kind::stopped;
+  }
+
+  static constexpr incarnation kOwner{7};
+  micros now = Millis(1000);
+  keeper_state k;
+};
+
+// Guards against a start that was on its way when the domain was closed.
+TEST_CASE_METHOD(closed_keeper, "start_arrives_after_closing_never_started") {
+  SetClosed(k, true);
+  Order("late", 1000, 100);
+  CHECK(StartsCalled() == 0);
+  CHECK(EndOf("late") == run_end_kind::never_started);
+}
+
+// Guards against a start that waits for room through the closing.
+TEST_CASE_METHOD(closed_keeper, "start_that_waits_at_closing_handed_back") {
+  Order("runs", 16'000, 10);
+  Order("waits", 1000, 10);
+  REQUIRE(k.waiting.size() == 1);
+  SetClosed(k, true);
+  TickKeeper(k, now);
+  CHECK(EndOf("waits") == run_end_kind::never_started);
+  CHECK(StartsCalled() == 1);
+}
+
+// Guards against a closing that ends what runs.
+TEST_CASE_METHOD(closed_keeper, "run_at_closing_goes_on") {
+  Order("runs", 1000, 100);
+  TakeKeeperEvent(k, now,
+                  run_start_answered{Ref("runs"), {"life"}, worker_answer::ok});
+  SetClosed(k, true);
+  TickKeeper(k, now);
+  CHECK(k.runs.size() == 1);
+  CHECK(std::none_of(k.actions.begin(), k.actions.end(),
+                     [](const keeper_action& a) {
+                       return std::holds_alternative<call_run_stop>(a);
+                     }));
+  CHECK_FALSE(TakesLeasedWork(k, now));
+  SetClosed(k, false);
+  CHECK(TakesLeasedWork(k, now));
+}
+
+// Guards against a worker that starts again in a closed domain and gets work.
+TEST_CASE_METHOD(closed_keeper, "worker_starts_again_while_closed_no_work") {
+  SetClosed(k, true);
+  leased_worker_announced e;
+  e.info.life = {"other"};
+  e.info.capacity = {16'000, 1000, 0};
+  TakeKeeperEvent(k, now, e);
+  TickKeeper(k, now);
+  look_answered look;
+  look.life = {"other"};
+  look.answer = worker_answer::ok;
+  look.clock_ms = 1;
+  TakeKeeperEvent(k, now, look);
+  TickKeeper(k, now);
+  Order("new", 1000, 100);
+  CHECK(StartsCalled() == 0);
+}
+
+// ---- [4] Calm ---------------------------------------------------------------
+
+world_options TwoDomains() {
+  world_options options;
+  options.domains = 2;
+  return options;
+}
+
+struct two_domains {
+  two_domains() : w(TwoDomains()) { w.Pass(Millis(1500)); }
+
+  // A job of 80 ms on 2 cores each 10 ms: a quarter of the room of four
+  // workers.
+  void Load(int64_t ms) {
+    for (int64_t i = 0; i < ms / 10; ++i) {
+      w.Submit(MakeJob("job-" + std::to_string(next++), 1, 2000, 80));
+      w.Pass(Millis(10));
+    }
+  }
+
+  uint64_t StartsIn(int domain) const {
+    uint64_t starts = 0;
+    for (size_t i = 0; i < w.workers.size(); ++i) {
+      if (static_cast<int>(i) % w.options.domains == domain)
+        starts += w.workers[i].starts;
+    }
+    return starts;
+  }
+
+  size_t CompletedOf(int from, int to) const {
+    size_t completed = 0;
+    for (int i = from; i < to; ++i)
+      completed +=
+          w.jobs.at("job-" + std::to_string(i)).fate == job_fate::completed ? 1
+                                                                            : 0;
+    return completed;
+  }
+
+  void RequireNothingBroken() const {
+    for (const violation& v : w.violations)
+      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
+    REQUIRE(w.violations.empty());
+  }
+
+  world w;
+  int next = 0;
+};
+
+// Guards against starts in a domain that is closed, and against callers who are
+// refused though other domains have room.
+TEST_CASE_METHOD(two_domains, "domain_closed_under_load_served_by_the_other") {
+  Load(500);
+  w.CloseDomain(0);
+  Load(100);
+  const uint64_t before = StartsIn(0);
+  const int from = next;
+  Load(1500);
+  const int to = next;
+  CHECK(StartsIn(0) == before);
+  w.OpenDomain(0);
+  Load(500);
+  CHECK(StartsIn(0) > before);
+  w.Pass(Millis(1000));
+  CHECK(CompletedOf(from, to) == static_cast<size_t>(to - from));
+  RequireNothingBroken();
+}
+
+// Guards against one domain's opening that opens another.
+TEST_CASE_METHOD(two_domains, "domains_closed_overlapping_each_by_itself") {
+  w.CloseDomain(0);
+  Load(300);
+  w.CloseDomain(1);
+  Load(100);
+  const uint64_t both = StartsIn(0) + StartsIn(1);
+  Load(300);
+  CHECK(StartsIn(0) + StartsIn(1) == both);
+  w.OpenDomain(0);
+  Load(100);
+  const uint64_t second = StartsIn(1);
+  Load(500);
+  CHECK(StartsIn(0) + StartsIn(1) > both);
+  CHECK(StartsIn(1) == second);
+  RequireNothingBroken();
+}
+
+// Guards against callers who wait while nobody may serve them, and against jobs
+// refused for good.
+TEST_CASE_METHOD(two_domains, "domains_all_closed_refused_at_once") {
+  w.CloseDomain(0);
+  w.CloseDomain(1);
+  w.Pass(Millis(100));
+  w.Submit(MakeJob("shut-out", 2, 2000, 80));
+  w.Pass(Millis(20));
+  REQUIRE(w.jobs["shut-out"].fate == job_fate::refused);
+  REQUIRE(w.retry_after_ms.back() >= 1000);
+  w.OpenDomain(1);
+  w.Pass(Millis(200));
+  w.Submit(MakeJob("again", 2, 2000, 80));
+  w.Pass(Millis(300));
+  CHECK(w.jobs["again"].fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
+// Guards against what waits already and keeps its callers waiting.
+TEST_CASE_METHOD(two_domains, "job_waits_as_all_close_refused_at_once") {
+  for (int i = 0; i < 4; ++i)
+    w.Submit(MakeJob("runs-" + std::to_string(i), 4, 4000, 3000));
+  // All entries have heard that the workers are full.
+  w.Pass(Millis(1200));
+  for (int i = 0; i < 8; ++i)
+    w.Submit(MakeJob("waits-" + std::to_string(i), 1, 4000, 900));
+  w.Pass(Millis(100));
+  w.CloseDomain(0);
+  w.CloseDomain(1);
+  w.Pass(Millis(100));
+  // All that waits, and nothing else: what runs there goes on.
+  for (const auto& [id, job] : w.jobs) {
+    INFO(id);
+    CHECK(job.fate == (job.started ? job_fate::open : job_fate::refused));
+  }
+  CHECK(w.Count(job_fate::refused) == 8);
+  RequireNothingBroken();
+}
+
+// Guards against a report on its way at the closing, that says a worker there
+// takes work.
+TEST_CASE_METHOD(two_domains, "report_from_before_the_closing_places_nothing") {
+  entry_state& entry = *w.entries[0].core;
+  const worker_id worker = entry.worker_names.at("sidecar-0");
+  REQUIRE(entry.leased.workers[worker.value].takes_work);
+  const worker_row& row = entry.workers[worker.value];
+  sidecar_frame frame;
+  frame.epoch = row.epoch;
+  frame.reports.emplace();
+  frame.reports->takes_work = true;
+  frame.reports->free = w.options.capacity;
+  Tick(entry, w.now,
+       {closings_read{Closings(5, {"0"})},
+        sidecar_frame_received{row.link, frame}});
+  CHECK_FALSE(entry.leased.workers[worker.value].takes_work);
+  Tick(entry, w.now,
+       {closings_read{Closings(6, {})},
+        sidecar_frame_received{row.link, frame}});
+  CHECK(entry.leased.workers[worker.value].takes_work);
+}
+
+// Guards against a job refused as one that can never run, because the only
+// workers with its label are in a closed domain.
+TEST_CASE_METHOD(two_domains, "job_for_a_label_in_a_closed_domain_comes_back") {
+  w.workers[0].labels = {"kind-a"};
+  w.workers[2].labels = {"kind-a"};
+  w.Pass(Millis(1500));
+  w.CloseDomain(0);
+  w.Pass(Millis(100));
+  emulated_job job = MakeJob("labelled", 1, 2000, 80);
+  job.steps[0].label = "kind-a";
+  w.Submit(job);
+  w.Pass(Millis(20));
+  REQUIRE(w.jobs["labelled"].fate == job_fate::refused);
+  CHECK(w.retry_after_ms.back() >= 1000);
+  w.OpenDomain(0);
+  w.Pass(Millis(200));
+  job.id = "labelled-again";
+  w.Submit(job);
+  w.Pass(Millis(300));
+  CHECK(w.jobs["labelled-again"].fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
+// ---- [5] Failures -----------------------------------------------------------
+
+// Guards against an entry that can't read the closing, and against one that has
+// missed the reopening.
+TEST_CASE_METHOD(two_domains, "entry_cut_from_store_learns_through_others") {
+  w.CutFromStore(0, Millis(4000));
+  w.CloseDomain(0);
+  w.Pass(Millis(500));
+  REQUIRE(IsClosed(w.entries[0].core->closings, "0"));
+  w.OpenDomain(0);
+  w.Pass(Millis(500));
+  REQUIRE_FALSE(IsClosed(w.entries[0].core->closings, "0"));
+  RequireNothingBroken();
+}
+
+// Guards against a sidecar that was out of reach, and entries that send it
+// starts before it has heard of the closing.
+TEST_CASE_METHOD(two_domains, "sidecar_cut_off_hears_before_it_starts") {
+  for (int entry = 0; entry < 3; ++entry)
+    w.Cut(entry, 0, Millis(1500));
+  w.Pass(Millis(200));
+  w.CloseDomain(0);
+  Load(1000);
+  const uint64_t before = StartsIn(0);
+  Load(2000);
+  CHECK(StartsIn(0) == before);
+  RequireNothingBroken();
+}
+
+// Guards against a closing that is forgotten when all entries die while the
+// store is away: sidecars keep it.
+TEST_CASE_METHOD(two_domains, "entries_all_killed_store_away_still_closed") {
+  w.CloseDomain(0);
+  w.Pass(Millis(500));
+  w.StoreFault(Millis(6000), "store silent",
+               [](emulated_store& s) { s.silent = true; });
+  for (int i = 0; i < 3; ++i)
+    w.KillEntry(i);
+  w.Pass(Millis(1500));
+  const uint64_t before = StartsIn(0);
+  Load(2000);
+  CHECK(StartsIn(0) == before);
+  for (const emulated_entry& e : w.entries)
+    CHECK(IsClosed(e.core->closings, "0"));
+  RequireNothingBroken();
+}
+
+// Guards against sidecars that start anew in a closed domain.
+TEST_CASE_METHOD(two_domains, "sidecars_killed_while_closed_still_closed") {
+  w.CloseDomain(0);
+  Load(300);
+  const uint64_t before = StartsIn(0);
+  w.KillSidecar(0);
+  w.KillSidecar(2);
+  Load(2500);
+  CHECK(StartsIn(0) == before);
+  RequireNothingBroken();
+}
+
+TEST_CASE("closings_on_seeded_days_nothing_broken", "[seeded]") {
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    day_options day;
+    day.seed = seed;
+    day.closes_domains = true;
+    const day_report report = PlaySeededDay(day);
+    for (const violation& v : report.violations)
+      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
+    INFO("seed " << seed);
+    REQUIRE(report.violations.empty());
+    CHECK(report.completed > 0);
+  }
+}
+
+}  // namespace
+}  // namespace cassiaferry::emulator
+
+// ---- [6] Tasks without leases -----------------------------------------------
+
+namespace cassiaferry::testing {
+namespace {
+
+struct closed_pair : core_world {
+  closed_pair() : core_world(2) {
+    for (int i = 0; i < 2; ++i) {
+      sidecars[static_cast<size_t>(i)].options.failure_domain =
+          std::to_string(i);
+      Announce(i, 4);
+    }
+    Pass(500);
+  }
+
+  void Tell(uint64_t version, std::set<std::string> domains) {
+    inbox.emplace_back(closings_read{{{version}, std::move(domains)}});
+  }
+};
+
+// Guards against tasks of the product's own jobs in a closed domain.
+TEST_CASE_METHOD(closed_pair, "tasks_domain_closed_start_elsewhere") {
+  for (auto& s : sidecars)
+    CHECK(s.options.failure_domain.size() == 1);
+  Cut(0);
+  Cut(1);
+  Pass(1000);
+  Tell(5, {"0"});
+  Pass(200);
+  Submit(1, MakeRequest(4));
+  Submit(2, MakeRequest(4));
+  Pass(200);
+  CHECK(running[0].empty());
+  CHECK(running[1].size() == 4);
+  FinishAll(1);
+  Pass(200);
+  CHECK(running[0].empty());
+  FinishAll(1);
+  Pass(200);
+  CHECK(Complete(1) != nullptr);
+  CHECK(Complete(2) != nullptr);
+}
+
+// Guards against an entry with older news than the sidecar: the start is handed
+// back, and the task runs elsewhere.
+TEST_CASE_METHOD(closed_pair, "tasks_sent_with_older_news_start_elsewhere") {
+  TakeToldClosings(sidecars[0].closings, {{5}, {"0"}});
+  Submit(1, MakeRequest(4));
+  Pass(200);
+  CHECK(running[0].empty());
+  FinishAll(1);
+  Pass(200);
+  FinishAll(1);
+  Pass(200);
+  CHECK(Complete(1) != nullptr);
+}
+
+// Guards against tasks queued at a sidecar that stay there when its domain is
+// closed, or start there.
+TEST_CASE_METHOD(closed_pair, "tasks_queued_at_closing_handed_back") {
+  Submit(1, MakeRequest(8));
+  Pass(100);
+  REQUIRE(running[0].size() == 4);
+  entry_frame frame;
+  frame.epoch = sidecars[0].links[0].epoch;
+  frame.starts.push_back({{job_seq{99}, 0}, "x", order_key{0}, 5000, true});
+  Tick(sidecars[0], now, {link_frame_received{entry_id{0}, frame}});
+  REQUIRE(sidecars[0].queue.size() == 1);
+  TakeToldClosings(sidecars[0].closings, {{5}, {"0"}});
+  Pass(50);
+  CHECK(sidecars[0].queue.empty());
+  FinishAll(0);
+  Pass(200);
+  CHECK(running[0].empty());
+}
+
+// Guards against callers who wait for a domain to be opened again.
+TEST_CASE_METHOD(closed_pair, "tasks_all_closed_refused_at_once") {
+  Cut(0);
+  Cut(1);
+  Pass(1000);
+  Tell(5, {"0", "1"});
+  Pass(200);
+  Submit(1, MakeRequest(1));
+  Pass(50);
+  REQUIRE(Failed(1) != nullptr);
+  CHECK(Failed(1)->why.why == reason::no_worker);
+  CHECK(Failed(1)->why.what == verdict::not_run);
+  CHECK(Failed(1)->why.retry_after_ms > 0);
+}
+
+}  // namespace
+}  // namespace cassiaferry::testing
--- a/tests/promises_test.cc
+++ b/tests/promises_test.cc
@@ -4,7 +4,8 @@
 //   [1] Keyed jobs
 //   [2] Platform outages
 //   [3] Configuration
-//   [4] Recovery
+//   [4] Closed failure domains
+//   [5] Recovery
 
 #include <signal.h>  // NOLINT(modernize-deprecated-headers): SIGKILL
 
@@ -198,7 +199,74 @@
   CHECK(InForce(sys, 1));
 }
 
-// ---- [4] Recovery -----------------------------------------------------------
+// ---- [4] Closed failure domains ---------------------------------------------
+
+namespace {
+
+// Worker 0 stands in domain "a", worker 1 in "b".
+struct two_domains : two_entries {
+  two_domains() {
+    REQUIRE(Eventually([&] { return sys.UpLinks(0) == 2; }));
+  }
+
+  reply SetDomain(int entry, const std::string& domain, bool closed) const {
+    const std::string token = sys.info["admin_token"];
+    return Send("PUT", sys.Entry(entry), "/v1/domains/" + domain,
+                json{{"closed", closed}}.dump(),
+                {"Authorization: Bearer " + token});
+  }
+
+  bool AllKnow(const json& closed) const {
+    for (int i = 0; i < 2; ++i) {
+      const reply entry = Send("GET", sys.Entry(i), "/v1/status");
+      const reply sidecar = Send("GET", sys.Sidecar(i), "/v1/status");
+      if (entry.body["closed_domains"] != closed ||
+          sidecar.body["closed_domains"] != closed)
+        return false;
+    }
+    return true;
+  }
+
+  int StartsAt(int upstream) const {
+    return Send("GET", sys.Upstream(upstream), "/stats").body["starts"];
+  }
+};
+
+}  // namespace
+
+// Guards against tasks that start where operators have closed the domain.
+TEST_CASE_METHOD(two_domains, "Domain_WhenClosed_StartsNothingUntilReopened") {
+  REQUIRE(SetDomain(0, "a", true).status == 200);
+  REQUIRE(Eventually([&] { return AllKnow({"a"}); }));
+  const int before = StartsAt(0);
+  for (int i = 0; i < 6; ++i)
+    CHECK(sys.Job(i % 2, MakeJob(4, "sleep:20")).status == 200);
+  CHECK(StartsAt(0) == before);
+  REQUIRE(SetDomain(1, "b", true).status == 200);
+  REQUIRE(Eventually([&] { return AllKnow({"a", "b"}); }));
+  const reply refused = sys.Job(0, MakeJob(1, "sleep:20"));
+  CHECK(refused.body["reason"] == "no_worker");
+  CHECK(refused.body["verdict"] == "not_run");
+  REQUIRE(SetDomain(0, "a", false).status == 200);
+  REQUIRE(Eventually([&] { return AllKnow({"b"}); }));
+  CHECK(Eventually(
+      [&] { return sys.Job(0, MakeJob(4, "sleep:20")).status == 200; }));
+  CHECK(StartsAt(0) > before);
+}
+
+// Guards against a closing that is done twice or not at all when the reply to
+// its write is lost, and against changes by strangers.
+TEST_CASE_METHOD(two_domains, "Domain_WhenTheReplyIsLost_IsClosedOnce") {
+  CHECK(
+      Send("PUT", sys.Entry(0), "/v1/domains/a", R"({"closed":true})").status ==
+      401);
+  CHECK(SetDomain(0, "", true).status == 404);
+  sys.Knobs({{"lose_replies", 1}});
+  CHECK(SetDomain(0, "a", true).status == 200);
+  CHECK(Eventually([&] { return AllKnow({"a"}); }));
+}
+
+// ---- [5] Recovery -----------------------------------------------------------
 
 // The platform is down and every entry is replaced at once. The configuration
 // lives on in the sidecars: a new entry takes it from them before it is ready.
