A stopping entry takes jobs that are done in time before it closes

Ruled out: asking for nothing (what runs at the close is cut, and costs a may have run); a peer that takes the job over is not built.

Change: what is late only after the entry closes is taken. Test: jobs of 1.2 s in the first two seconds of a stop, 20 of 20 refused before, none now.

--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -307,7 +307,7 @@
 }
 
 // A stopping entry serves what its callers still send on open connections, as
-// long as that can be done in the time that is left.
+// long as that is done in the time that is left if it is done in time at all.
 bool FitsBeforeStop(const entry_state& s, const leased_job& job) {
   if (!s.draining)
     return true;
@@ -316,7 +316,7 @@
     return false;
   const leased_options& o = s.leased.options;
   const micros closes = s.drain_since + o.drain_accept + o.drain_close;
-  return job.worthless_from < closes;
+  return job.late_from < closes;
 }
 
 leased_job BuildJob(leased_state& l,
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -348,6 +348,26 @@
   REQUIRE(w.jobs["long"].fate == job_fate::refused);
 }
 
+// Guards against refusals of jobs that the time to stop has room for, because
+// their worst end is past it.
+TEST_CASE_METHOD(leased_jobs, "entry_stopping_takes_long_jobs_that_fit") {
+  entry_state& entry = *w.entries[0].core;
+  entry.options.leased.drain_accept = Millis(2400);
+  entry.options.leased.drain_close = Millis(2400);
+  entry.leased.options = entry.options.leased;
+  w.SubmitTo(0, MakeJob("running", 1, 1000, 4000));
+  w.Pass(Millis(50));
+  w.entries[0].inbox.emplace_back(entry_drain_requested{});
+  for (int i = 0; i < 20; ++i) {
+    w.Pass(Millis(100));
+    w.SubmitTo(0, MakeJob("long-" + std::to_string(i), 2, 500, 1200));
+  }
+  w.Pass(Millis(3000));
+  REQUIRE(w.Count(job_fate::refused) == 0);
+  REQUIRE(w.Count(job_fate::completed) == 21);
+  RequireNothingBroken();
+}
+
 // What a user sees: a job hangs until its caller gives up. Order: a worker goes
 // silent for good while it runs a task; its sidecar goes on asking. Cause: each
 // look that gets no answer grants a lease anew, so the run never counts as
