A planned stop ends within its time

Cause: goodbye is said once; sidecars hang up, dial again after 100 ms, and get a stream that nobody ends; the end of the process then waits 2 s for it, 7.15 s after the signal for a job that runs to the close, with 6 to go. Ruled out: the callers' server (it ends at once) and the linger of 0.3 s.

Change: after the goodbye a greeting is answered by closing the stream, and streams of sidecars that don't answer are waited for 0.5 s instead of 2. Test, processes: 7.15 s before, 5.2 s now; an idle entry ends in 2.8 s instead of 4.7.

--- a/src/core/entry_links.cc
+++ b/src/core/entry_links.cc
@@ -125,6 +125,12 @@
            micros now,
            link_id link,
            const sidecar_frame& frame) {
+  // Failure guarded against: sidecars that have been told goodbye dial again,
+  // and the end of this process waits for streams that nobody ends.
+  if (s.drained_said) {
+    s.actions.push_back(close_link{link});
+    return;
+  }
   const worker_id id = FindOrAddWorker(s, frame.hello->name);
   worker_row& w = s.workers[id.value];
   if (w.sidecar == frame.hello->sidecar && frame.epoch < w.epoch) {
--- a/src/net/link_server.cc
+++ b/src/net/link_server.cc
@@ -27,7 +27,8 @@
 namespace {
 
 constexpr int kMaxFrameBytes = 64 << 20;
-constexpr std::chrono::seconds kFinishGrace{2};
+// For streams whose sidecars don't answer, at the end of a planned stop.
+constexpr std::chrono::milliseconds kFinishGrace{500};
 constexpr std::chrono::milliseconds kFinishPoll{5};
 // The library rounds deadlines up to its milliseconds: by "now" it would wait
 // for one, and set a timer where a wake-up is wanted.
