A job whose starts were all refused has not begun, and is refused in time

What a caller saw: under overload, no answer until its own deadline, though nothing of its job had run. Order: an entry places a task by room that is gone; the sidecar hands the start back; the job counts as begun from the order on, so nothing may refuse it any more, and it ranks before jobs that are in time. Emulated: 12 of 24 short jobs beside long ones were kept so (test, failed before). Ruled out: refusing it while a start may still be on its way: a start counts until its end is told, and any end but never started says that it ran.

--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -119,7 +119,9 @@
   int64_t least_cpu = 0;     // that a task of it needs
   uint32_t placed = 0;
   uint32_t done = 0;
-  bool started = false;  // a run was ordered: it can't be refused any more
+  bool started = false;  // a run was ordered, and may have begun: the job can't
+                         // be refused any more
+  bool ran = false;      // one has, or may have
   micros started_at{0};
   bool queued = false;   // stands in the waiting table, or among the overdue
   bool overdue = false;  // durable, and of no use any more: served last
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -542,6 +542,17 @@
                           std::to_string(w.free.cpu)});
 }
 
+namespace {
+
+// Failure guarded against: the starts of a job are all refused, and it counts
+// as begun: it is kept until its caller gives up, though nothing of it has run.
+void NoteWhetherItRan(leased_job& job, run_end_kind how) {
+  job.ran = job.ran || how != run_end_kind::never_started;
+  job.started = job.ran || job.placed > 0;
+}
+
+}  // namespace
+
 void TakeEnd(entry_state& s, micros now, worker_id id, const run_end& end) {
   leased_worker& w = s.leased.workers[id.value];
   if (end.number != 0) {
@@ -565,6 +576,7 @@
     return;
   --job->placed;
   HoldRoom(s.leased, *job, *row, -1);
+  NoteWhetherItRan(*job, end.how);
   LearnFromRun(s, now, w, *job, *row, end);
   if (end.how == run_end_kind::never_started)
     w.avoid_until = now + kAvoidAfterRefusal;
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -181,6 +181,27 @@
   REQUIRE(w.Count(job_fate::completed) == 32);
 }
 
+// Guards against jobs that are kept until their callers give up, though every
+// start of theirs was refused.
+TEST_CASE_METHOD(leased_jobs, "starts_all_refused_job_refused_when_hopeless") {
+  // All entries see the same room free.
+  for (int i = 0; i < 16; ++i)
+    w.Submit(MakeJob("long-" + std::to_string(i), 2, 4000, 3000));
+  SubmitMany(24, 1, 4000, 100);
+  w.Pass(Millis(1200));
+  uint64_t refused_starts = 0;
+  for (const emulated_entry& e : w.entries)
+    refused_starts +=
+        e.core->leased.counters
+            .runs_ended[static_cast<size_t>(run_end_kind::never_started)];
+  REQUIRE(refused_starts > 0);
+  for (int i = 0; i < next; ++i) {
+    INFO("job-" << i);
+    CHECK(w.jobs["job-" + std::to_string(i)].fate != job_fate::open);
+  }
+  RequireNothingBroken();
+}
+
 // What a user sees: under a burst every job waits as long as it possibly can,
 // and half of them are then refused. Order: 4 workers get four times their load
 // for a second. What can't be served in time is refused by the work that stands
