Emulated loads of this kind: workers of several sizes and speeds, waves, callers by domain

Experiments take sizes and speeds of workers, dealt in turn, a delay between failure domains, a wave of the load, shares of the domains' callers, and arms with exact estimates, no delay or other numbers of entries; the table names the worst domain.

--- a/src/apps/emulate_experiment.cc
+++ b/src/apps/emulate_experiment.cc
@@ -36,6 +36,12 @@
     {"hanging", field_kind::integer, 0, 2000},
     {"slow", field_kind::integer, 0, 2000},
     {"late_orders", field_kind::number, 0, 1},
+    {"sizes", field_kind::array, 1, 100},
+    {"speeds", field_kind::array, 1, 100},
+    {"far_delay_ms", field_kind::number, 0, 1000},
+    {"wave_swing", field_kind::number, 0, 1},
+    {"wave_period_s", field_kind::number, 0.1, 600},
+    {"domain_shares", field_kind::array, 1, 100},
     {"loads", field_kind::array, 1, 100, true},
     {"arms", field_kind::array, 1, 20, true},
 };
@@ -46,6 +52,9 @@
     {"admission", field_kind::text, 1, 64},
     {"link_bytes_per_s", field_kind::integer, 0, 1'000'000'000},
     {"paces_payloads", field_kind::boolean, 0, 0},
+    {"exact_estimates", field_kind::boolean, 0, 0},
+    {"no_delay", field_kind::boolean, 0, 0},
+    {"entries", field_kind::integer, 1, 100},
 };
 
 struct arm {
@@ -54,6 +63,9 @@
   leased_admission admission = leased_admission::in_time;
   int64_t link_bytes_per_s = 0;
   bool paces_payloads = true;
+  bool exact_estimates = false;
+  bool no_delay = false;
+  int entries = 0;  // 0: as the file says
 };
 
 [[noreturn]] void Refuse(const std::string& path, const std::string& why) {
@@ -89,6 +101,9 @@
       ReadName(path, j, "admission", {"useful", "in_time"},
                static_cast<size_t>(a.admission)));
   a.link_bytes_per_s = j.value("link_bytes_per_s", a.link_bytes_per_s);
+  a.exact_estimates = j.value("exact_estimates", a.exact_estimates);
+  a.no_delay = j.value("no_delay", a.no_delay);
+  a.entries = j.value("entries", a.entries);
   a.paces_payloads = j.value("paces_payloads", a.paces_payloads);
   return a;
 }
@@ -105,7 +120,7 @@
 load_options OptionsFor(const json& file, const arm& a, const play& p) {
   load_options o;
   o.world.seed = p.seed;
-  o.world.entries = file.value("entries", 3);
+  o.world.entries = a.entries != 0 ? a.entries : file.value("entries", 3);
   o.world.workers = file.value("workers", 11);
   o.world.domains = file.value("failure_domains", 3);
   o.world.order = a.order;
@@ -117,6 +132,16 @@
   o.hanging = file.value("hanging", 0);
   o.slow = file.value("slow", 0);
   o.late_orders = file.value("late_orders", 0.0);
+  o.world.sizes = file.value("sizes", std::vector<double>());
+  o.world.speeds = file.value("speeds", std::vector<double>());
+  o.world.far_delay =
+      micros{static_cast<int64_t>(file.value("far_delay_ms", 0.0) * 1000)};
+  o.wave_swing = file.value("wave_swing", 0.0);
+  o.wave_period_s = file.value("wave_period_s", o.wave_period_s);
+  o.domain_shares = file.value("domain_shares", std::vector<double>());
+  o.callers_stay_near = !o.domain_shares.empty();
+  o.exact_estimates = a.exact_estimates;
+  o.no_delay = a.no_delay;
   return o;
 }
 
@@ -146,6 +171,14 @@
   return static_cast<double>(q.on_time) / std::max(1, q.asked);
 }
 
+// Of the callers of one failure domain.
+double WorstDomain(const play_result& r) {
+  double worst = 1;
+  for (const domain_result& d : r.domains)
+    worst = std::min(worst, d.earned / std::max(1e-9, d.owed));
+  return worst;
+}
+
 template <typename Read>
 std::vector<double> Sorted(const std::vector<const play*>& plays, Read read) {
   std::vector<double> values;
@@ -168,7 +201,8 @@
         Sorted(plays, [&](const play_result& r) { return InTime(r, queue); });
     std::printf("  %.3f", shares[shares.size() / 2]);
   }
-  std::printf("\n");
+  const std::vector<double> domains = Sorted(plays, WorstDomain);
+  std::printf("  %.3f\n", domains[domains.size() / 2]);
 }
 
 void PrintTable(const std::vector<arm>& arms,
@@ -178,7 +212,7 @@
               "value: median, spread");
   for (size_t queue = 0; queue < kLoadQueues; ++queue)
     std::printf(" %s", QueueName(queue));
-  std::printf("\n");
+  std::printf("; value of the worst domain\n");
   for (size_t a = 0; a < arms.size(); ++a) {
     for (double load : loads) {
       std::vector<const play*> of_row;
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -58,6 +58,8 @@
     w.started_ms = ToMillis(now);
     w.clock_origin = now - Millis(static_cast<int64_t>(random() % 100'000));
     w.clock_rate = 0.98 + 0.02 * Chance();
+    if (!options.speeds.empty())
+      w.slowness = 1 / DealtTo(i, options.speeds);
     StartSidecar(i);
     AnnounceWorker(i);
     AdvanceWorker(i);
@@ -288,6 +290,12 @@
   return link.free_at;
 }
 
+micros world::DelayOf(const emulated_stream& stream) const {
+  const bool far =
+      stream.entry % options.domains != stream.sidecar % options.domains;
+  return far ? options.link_delay + options.far_delay : options.link_delay;
+}
+
 bool world::IsCut(const cut_table& cuts, const emulated_stream& stream) const {
   const auto cut = cuts.find({stream.entry, stream.sidecar});
   return cut != cuts.end() && cut->second > now;
@@ -302,7 +310,7 @@
   const cut_table& cuts = is_out ? cut_to_sidecar_ : cut_to_entry_;
   const auto cut = cuts.find({stream->entry, stream->sidecar});
   const micros free = cut == cuts.end() ? sent : std::max(sent, cut->second);
-  At(free + options.link_delay, [this, stream, deliver = std::move(deliver)] {
+  At(free + DelayOf(*stream), [this, stream, deliver = std::move(deliver)] {
     const emulated_entry& e = entries[static_cast<size_t>(stream->entry)];
     const emulated_sidecar& s = sidecars[static_cast<size_t>(stream->sidecar)];
     if (e.lives == stream->entry_life && s.lives == stream->sidecar_life &&
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -55,8 +55,11 @@
   int workers = 4;
   int domains = 1;  // failure domains, dealt to entries and workers in turn
   room capacity{16'000, 65'536, 0};
-  micros link_delay{800};    // one way, entry to sidecar
-  micros worker_delay{150};  // one way, sidecar to its worker
+  std::vector<double> sizes;   // times that, dealt to workers in turn; empty: 1
+  std::vector<double> speeds;  // too; work done against expected
+  micros link_delay{800};      // one way, entry to sidecar
+  micros far_delay{0};         // more, between failure domains
+  micros worker_delay{150};    // one way, sidecar to its worker
   micros caller_delay = Millis(2);
   micros resend_after = Millis(1300);  // a caller without an answer
   micros announce_every = Millis(1000);
@@ -264,6 +267,7 @@
 
   size_t Count(job_fate fate) const;
   room UsedBy(int worker) const;
+  room CapacityOf(int worker) const;
 
   world_options options;
   std::mt19937_64 random;
@@ -333,6 +337,7 @@
              action deliver);
   // When the bytes, sent now, are through the link.
   micros Transmit(emulated_link& link, size_t bytes);
+  micros DelayOf(const emulated_stream& stream) const;
 
   void CallWorker(int sidecar, const keeper_action& call);
   void Deliver(int sidecar, uint64_t life, keeper_event event);
@@ -345,7 +350,7 @@
   uint32_t PercentOf(const worker_run& run) const;
   void EndRun(emulated_worker& w, const leased_task& task, run_end_kind how);
   void AdvanceWorker(int worker);
-  void NoteRoom(const emulated_worker& w);
+  void NoteRoom(int worker);
   void AnnounceWorker(int worker);
   void CheckStart(int worker, const run_start& start);
 
@@ -409,6 +414,11 @@
 
 std::string EntryAddress(int entry);
 
+// What is dealt in turn.
+inline double DealtTo(int worker, const std::vector<double>& values) {
+  return values[static_cast<size_t>(worker) % values.size()];
+}
+
 }  // namespace cassiaferry::emulator
 
 #endif  // CASSIAFERRY_SRC_EMULATOR_LEASED_WORLD_H_
--- a/src/emulator/load_play.cc
+++ b/src/emulator/load_play.cc
@@ -102,22 +102,44 @@
   return domain + pick * domains;
 }
 
+int DrawDomain(const load_options& o, load_random& random, int number) {
+  if (o.domain_shares.empty())
+    return number % o.world.domains;
+  std::discrete_distribution<int> domain(o.domain_shares.begin(),
+                                         o.domain_shares.end());
+  return domain(random);
+}
+
+// Of all workers, by what they get done.
+double RoomOf(const world& w) {
+  double cpu = 0;
+  for (int i = 0; i < w.options.workers; ++i)
+    cpu += static_cast<double>(w.CapacityOf(i).cpu) *
+           (w.options.speeds.empty() ? 1 : DealtTo(i, w.options.speeds));
+  return cpu;
+}
+
 void SubmitLoad(world& w, const load_options& o) {
-  const double room_ms = static_cast<double>(kWorkerRoom.cpu) * o.world.workers;
+  const double room_ms = RoomOf(w);
   const double jobs_per_ms = o.load * room_ms / MeanWork();
   std::exponential_distribution<double> gap(jobs_per_ms);
+  const micros began = w.now;
   const micros until = w.now + micros{static_cast<int64_t>(o.seconds * 1e6)};
   load_random random(o.world.seed + kLoadSeed);
   int number = 0;
   while (w.now < until) {
-    w.Pass(micros{static_cast<int64_t>(gap(random) * 1000)});
+    constexpr double kTurn = 6.283185307179586;
+    const double turns =
+        static_cast<double>((w.now - began).value) / 1e6 / o.wave_period_s;
+    const double wave = 1 + o.wave_swing * std::sin(kTurn * turns);
+    w.Pass(micros{static_cast<int64_t>(gap(random) * 1000 / wave)});
     const queue_load& queue = DrawQueue(random);
     emulated_job job = DrawJob(random, number++, queue);
     if (o.exact_estimates)
       job.steps[0].expected_ms =
           std::max<int64_t>(1, static_cast<int64_t>(MeanMs(job)));
     if (o.callers_stay_near)
-      w.SubmitTo(EntryIn(o.world, random, number % o.world.domains),
+      w.SubmitTo(EntryIn(o.world, random, DrawDomain(o, random, number)),
                  std::move(job));
     else
       w.Submit(std::move(job));
@@ -257,6 +279,8 @@
     options.worker_delay = kNoDelay;
     options.caller_delay = kNoDelay;
   }
+  if (o.no_delay)
+    options.far_delay = {};
   world w(options);
   w.Pass(kWarmUp);
   for (int i = 0; i < o.hanging; ++i)
--- a/src/emulator/load_play.h
+++ b/src/emulator/load_play.h
@@ -22,9 +22,12 @@
   // Callers are spread evenly over the failure domains, and reach the entries
   // of theirs alone. Else they reach any.
   bool callers_stay_near = false;
-  bool exact_estimates = false;  // entries are told how long tasks take
-  bool no_delay = false;         // what is sent is there at once
-  bool with_bound = false;       // compare with it: takes longer than the play
+  std::vector<double> domain_shares;  // of such callers; empty: the same
+  double wave_swing = 0;              // of the load, as a share of it ...
+  double wave_period_s = 11;          // ... and how long a wave takes
+  bool exact_estimates = false;       // entries are told how long tasks take
+  bool no_delay = false;              // what is sent is there at once
+  bool with_bound = false;  // compare with it: takes longer than the play
 };
 
 struct queue_result {
--- a/src/emulator/worker_world.cc
+++ b/src/emulator/worker_world.cc
@@ -144,6 +144,15 @@
   return used;
 }
 
+room world::CapacityOf(int worker) const {
+  if (options.sizes.empty())
+    return options.capacity;
+  const double size = DealtTo(worker, options.sizes);
+  room capacity = options.capacity;
+  capacity.cpu = static_cast<int64_t>(static_cast<double>(capacity.cpu) * size);
+  return capacity;
+}
+
 // What must hold whenever a worker begins a task.
 void world::CheckStart(int worker, const run_start& start) {
   const leased_task& task = start.ref.task;
@@ -156,7 +165,7 @@
   const micros told = workers[static_cast<size_t>(worker)].leaves_told;
   if (told.value != 0 && now > told + options.drain_within)
     Broken("started on a worker that leaves: " + name);
-  const room free = options.capacity - UsedBy(worker);
+  const room free = CapacityOf(worker) - UsedBy(worker);
   if (!Fits(start.need, free))
     Broken("worker " + std::to_string(worker) + " is brought over its room");
   const auto job = jobs.find(task.job);
@@ -260,14 +269,15 @@
   return a;
 }
 
-void world::NoteRoom(const emulated_worker& w) {
+void world::NoteRoom(int worker) {
+  const emulated_worker& w = workers[static_cast<size_t>(worker)];
   if (!w.up || w.hangs)
     return;
   const auto slot = static_cast<size_t>(now.value / kRoomSlot.value);
   if (room_us.size() <= slot)
     room_us.resize(slot + 1, 0);
   room_us[slot] +=
-      static_cast<double>(options.capacity.cpu * kWorkerStep.value) /
+      static_cast<double>(CapacityOf(worker).cpu * kWorkerStep.value) /
       w.slowness;
 }
 
@@ -278,7 +288,7 @@
   if (lapsed)
     NoteLapse(worker);
   cpu_used_us += static_cast<double>(UsedBy(worker).cpu * kWorkerStep.value);
-  NoteRoom(w);
+  NoteRoom(worker);
   for (auto& [task, run] : w.runs) {
     if (w.hangs) {
       run.since = run.since + kWorkerStep;
@@ -303,7 +313,7 @@
     leased_worker_announced e;
     e.info.life = {w.id, w.started_ms};
     e.info.upstream = kUpstream;
-    e.info.capacity = options.capacity;
+    e.info.capacity = CapacityOf(worker);
     e.info.labels = w.labels;
     e.sequence = ++w.announcements;
     e.draining = w.draining;
