An end of the owner before last is not taken as if nothing had started since

Order: the task ends on a worker whose sidecar its owner can't reach; the owner dies; the next one starts the task again after its second of waiting, and dies; the third finds the first end and takes it, as its number is below its own epoch. Only the owner directly before can't have been followed by a start that nobody knows.

--- a/tests/durable_unit_test.cc
+++ b/tests/durable_unit_test.cc
@@ -482,6 +482,71 @@
   RequireNothingBroken();
 }
 
+// Which worker runs a task of the job, but for one; -1: none.
+int RunnerBeside(const world& w, const std::string& job, int not_this) {
+  for (size_t i = 0; i < w.workers.size(); ++i) {
+    for (const auto& [task, run] : w.workers[i].runs) {
+      if (task.job == job && static_cast<int>(i) != not_this)
+        return static_cast<int>(i);
+    }
+  }
+  return -1;
+}
+
+void KillEntries(world& w) {
+  for (int i = 0; i < w.options.entries; ++i)
+    w.KillEntry(i);
+}
+
+// The owner of the job, entry 1, can't reach the worker that runs it first, and
+// dies twice. Other entries keep that worker's lease alive with work of theirs.
+void PlayTwoTakeovers(world& w, int64_t cut_ms) {
+  int busy = 0;
+  const auto pass = [&](int64_t ms) {
+    for (int64_t i = 0; i < ms / 10; ++i) {
+      for (int entry : {0, 2})
+        w.SubmitTo(entry,
+                   MakeJob("busy-" + std::to_string(busy++), 1, 500, 250));
+      w.Pass(Millis(10));
+    }
+  };
+  pass(200);
+  w.SubmitTo(1, MakeDurable("job", 1, 1000, 1500));
+  int first = -1;
+  for (int i = 0; i < 100 && first < 0; ++i) {
+    pass(10);
+    first = RunnerBeside(w, "job", -1);
+  }
+  REQUIRE(first >= 0);
+  // It ends before the sidecar stops it, as its owner is silent.
+  pass(1350);
+  w.Cut(1, first, Millis(cut_ms));
+  pass(250);
+  KillEntries(w);
+  for (int i = 0; i < 400 && RunnerBeside(w, "job", first) < 0; ++i)
+    pass(10);
+  KillEntries(w);
+  pass(2000);
+  w.Pass(Millis(10'000));
+  w.CheckHistories();
+}
+
+// Guards against an end that reaches the owner after the next one as if nobody
+// had started its task again in between.
+TEST_CASE("end_of_the_owner_before_last_is_not_taken_as_it_stands") {
+  for (int64_t cut_ms = 1200; cut_ms <= 4200; cut_ms += 200) {
+    INFO("cut for ms " << cut_ms);
+    world_options options = WithStore();
+    options.restart_after = Millis(120);
+    world w(options);
+    w.Pass(Millis(1500));
+    PlayTwoTakeovers(w, cut_ms);
+    for (const violation& v : w.violations)
+      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
+    CHECK(w.violations.empty());
+  }
+}
+
 // Guards against a read of the store for each task that ran as all processes
 // were killed: what need not be stored has no row to find.
 TEST_CASE_METHOD(durable_jobs, "ends_of_other_jobs_after_kill_cost_no_reads") {
