--- a/src/emulator/closings_world.cc
+++ b/src/emulator/closings_world.cc
@@ -59,10 +59,10 @@
   tells_closings_ = true;
   for (int i = 0; i < options.entries; ++i) {
     emulated_entry& e = entries[static_cast<size_t>(i)];
-    const bool told = closings_told_[i] == e.lives + 1;
+    const bool told = closings_told_[i] == e.lives;
     if (told || !ReachesStore(i))
       continue;
-    closings_told_[i] = e.lives + 1;
+    closings_told_[i] = e.lives;
     domain_closings read = closings;
     read.version.value +=
         static_cast<uint64_t>(now.value / 1000) % kVersionStep;
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -393,7 +393,8 @@
   std::map<int, micros> store_cut_until_;                    // by entry
   std::map<int, micros> entry_trouble_until_;
   std::map<int, micros> sidecar_trouble_until_;
-  std::map<int, uint64_t> closings_told_;  // life of the entry that was, +1
+  // Lives of entries that have read the newest closings, by entry; none yet: 0.
+  std::map<int, uint64_t> closings_told_;
   bool tells_closings_ = false;
   std::map<uint64_t, std::function<void(emulated_store&)>> store_faults_;
   micros store_trouble_until_{0};  // of any entry with the store
