--- a/src/core/durable_ends.cc
+++ b/src/core/durable_ends.cc
@@ -76,10 +76,10 @@
   const bool waits = !is_over && row.state != leased_task_state::placed;
   // Failure guarded against: the end of a run that the owner before last
   // ordered; the last one may have started the task again, and nobody can tell.
-  const bool of_owner_before =
-      IsFirstOfEpoch(job, row) && end.ref.run < row.run &&
-      end.ref.run > row.given_up &&
-      end.ref.run >= FirstRun(job.durable.epoch - 1);
+  const bool of_owner_before = IsFirstOfEpoch(job, row) &&
+                               end.ref.run < row.run &&
+                               end.ref.run > row.given_up &&
+                               end.ref.run >= FirstRun(job.durable.epoch - 1);
   if (waits && (newest || of_owner_before))
     return stray_kind::counts;
   // It has started again since. Had this failure been the last one allowed, it
