Entry links: one function carries the closings; no behaviour changes

The greeting and the frame each decided by themselves whether a sidecar is behind, and noted what was sent. Comments of closings.h say store where they said keeper, which is the lease keeper's name.

--- a/include/cassiaferry/closings.h
+++ b/include/cassiaferry/closings.h
@@ -1,9 +1,9 @@
 // Failure domains that operators have closed for new work.
 //
 // Nothing starts on the workers of a closed domain; what runs there goes on to
-// its end. Whoever keeps the operators' word (the platform's store) numbers its
-// states; entries read them there, and pass them on to sidecars and, through
-// these, to entries that can't read. The newest state wins, whole, whatever
+// its end. The platform's store, where operators write, numbers its states;
+// entries read them there, and pass them on to sidecars and, through these, to
+// entries that can't read. The newest state wins, whole, whatever
 // order messages arrive in.
 //
 // Contents
@@ -27,7 +27,7 @@
 // ---- [1] Types --------------------------------------------------------------
 
 using closings_version = strong_id<struct closings_tag, uint64_t>;  // of the
-                                                                    // keeper
+                                                                    // store
 
 // All domains that were closed at one moment.
 struct domain_closings {
@@ -62,7 +62,7 @@
 
 // ---- [3] Learning -----------------------------------------------------------
 
-// This process has read the state from its keeper. True: the domains in force
+// This process has read the state from the store. True: the domains in force
 // here have changed.
 bool TakeReadClosings(closings_state& s, domain_closings read);
 
--- a/src/core/entry_links.cc
+++ b/src/core/entry_links.cc
@@ -108,16 +108,24 @@
   LoseTasks(s, now, id, lost);
 }
 
-entry_frame MakeGreeting(const entry_state& s, const worker_row& w) {
+// A sidecar that is behind gets the closings, once on a stream.
+void CarryClosings(const entry_state& s, worker_row& w, entry_frame& frame) {
+  const domain_closings& known = s.closings.known;
+  frame.closed_as_of = known.version;
+  if (std::max(w.closed_as_of, w.closings_sent) >= known.version)
+    return;
+  frame.closings = known;
+  w.closings_sent = known.version;
+}
+
+entry_frame MakeGreeting(const entry_state& s, worker_row& w) {
   entry_frame frame;
   frame.epoch = w.epoch;
   frame.hello =
       entry_hello{s.options.self, s.options.link_address, Unresolved(w)};
   frame.peers = s.peers;
   frame.version = s.document.version;
-  frame.closed_as_of = s.closings.known.version;
-  if (w.closed_as_of < s.closings.known.version)
-    frame.closings = s.closings.known;
+  CarryClosings(s, w, frame);
   return frame;
 }
 
@@ -146,6 +154,7 @@
   w.epoch = frame.epoch;
   w.version = frame.hello->version;
   w.closed_as_of = frame.hello->closed_as_of;
+  w.closings_sent = {};
   w.closed = IsClosed(s.closings, w.failure_domain);
   w.wants_config = false;
   w.last_heard = now;
@@ -157,7 +166,6 @@
   entry_frame greeting = MakeGreeting(s, w);
   if (s.leased.options.enabled)
     GreetLeases(s, id, same_life, greeting);
-  w.closings_sent = s.closings.known.version;
   s.actions.push_back(send_to_sidecar{link, std::move(greeting)});
 }
 
@@ -441,11 +449,7 @@
   if (w.wants_config && w.version < s.document.version)
     frame.config = s.document;
   w.wants_config = false;
-  frame.closed_as_of = s.closings.known.version;
-  if (std::max(w.closed_as_of, w.closings_sent) < s.closings.known.version) {
-    frame.closings = s.closings.known;
-    w.closings_sent = s.closings.known.version;
-  }
+  CarryClosings(s, w, frame);
 }
 
 uint32_t WaitingTasks(const entry_state& s, const worker_row& w) {
