--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -19,6 +19,10 @@
 constexpr micros kWaitingTick = Millis(5);  // of a sidecar where starts wait
 constexpr micros kWakeUp{100};
 
+void Extend(micros& until, micros later) {
+  until = std::max(until, later);
+}
+
 int EntryOfAddress(const std::string& address) {
   return std::stoi(address.substr(address.find('-') + 1));
 }
@@ -58,8 +62,7 @@
     w.started_ms = ToMillis(now);
     w.clock_origin = now - Millis(static_cast<int64_t>(random() % 100'000));
     w.clock_rate = 0.98 + 0.02 * Chance();
-    if (!options.speeds.empty())
-      w.slowness = 1 / DealtTo(i, options.speeds);
+    w.slowness = 1 / DealtTo(i, options.speeds);
     StartSidecar(i);
     AnnounceWorker(i);
     AdvanceWorker(i);
@@ -421,8 +424,7 @@
   if (e.state == process_state::down)
     return;
   e.state = process_state::down;
-  micros& trouble = entry_trouble_until_[entry];
-  trouble = std::max(trouble, now + options.restart_after);
+  Extend(entry_trouble_until_[entry], now + options.restart_after);
   for (const auto& stream : streams_) {
     if (stream->entry != entry || !stream->open)
       continue;
@@ -457,8 +459,7 @@
   if (s.state == process_state::down)
     return;
   s.state = process_state::down;
-  micros& trouble = sidecar_trouble_until_[sidecar];
-  trouble = std::max(trouble, now + options.restart_after);
+  Extend(sidecar_trouble_until_[sidecar], now + options.restart_after);
   for (const auto& stream : streams_) {
     if (stream->sidecar != sidecar || !stream->open)
       continue;
@@ -495,8 +496,7 @@
 void world::FreezeEntry(int entry, micros time) {
   Log("fault", "freeze " + EntryAddress(entry) + " ms " +
                    std::to_string(ToMillis(time)));
-  micros& trouble = entry_trouble_until_[entry];
-  trouble = std::max(trouble, now + time);
+  Extend(entry_trouble_until_[entry], now + time);
   Freeze(entries[static_cast<size_t>(entry)], time,
          [this, entry] { WakeEntry(entry); });
 }
@@ -504,8 +504,7 @@
 void world::FreezeSidecar(int sidecar, micros time) {
   Log("fault", "freeze sidecar-" + std::to_string(sidecar) + " ms " +
                    std::to_string(ToMillis(time)));
-  micros& trouble = sidecar_trouble_until_[sidecar];
-  trouble = std::max(trouble, now + time);
+  Extend(sidecar_trouble_until_[sidecar], now + time);
   Freeze(sidecars[static_cast<size_t>(sidecar)], time,
          [this, sidecar] { WakeSidecar(sidecar); });
 }
@@ -597,8 +596,7 @@
         cuts == &cut_to_sidecar_ ? cut_ways::to_entry : cut_ways::to_sidecar;
     if (ways == other)
       continue;
-    micros& until = (*cuts)[{entry, sidecar}];
-    until = std::max(until, now + time);
+    Extend((*cuts)[{entry, sidecar}], now + time);
   }
 }
 
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -415,9 +415,10 @@
 
 std::string EntryAddress(int entry);
 
-// What is dealt in turn.
+// A factor that is dealt to workers in turn; of none, 1.
 inline double DealtTo(int worker, const std::vector<double>& values) {
-  return values[static_cast<size_t>(worker) % values.size()];
+  return values.empty() ? 1
+                        : values[static_cast<size_t>(worker) % values.size()];
 }
 
 }  // namespace cassiaferry::emulator
--- a/src/emulator/load_play.cc
+++ b/src/emulator/load_play.cc
@@ -114,8 +114,8 @@
 double RoomOf(const world& w) {
   double cpu = 0;
   for (int i = 0; i < w.options.workers; ++i)
-    cpu += static_cast<double>(w.CapacityOf(i).cpu) *
-           (w.options.speeds.empty() ? 1 : DealtTo(i, w.options.speeds));
+    cpu +=
+        static_cast<double>(w.CapacityOf(i).cpu) * DealtTo(i, w.options.speeds);
   return cpu;
 }
 
--- a/src/emulator/worker_world.cc
+++ b/src/emulator/worker_world.cc
@@ -145,8 +145,6 @@
 }
 
 room world::CapacityOf(int worker) const {
-  if (options.sizes.empty())
-    return options.capacity;
   const double size = DealtTo(worker, options.sizes);
   room capacity = options.capacity;
   capacity.cpu = static_cast<int64_t>(static_cast<double>(capacity.cpu) * size);
