--- a/tests/closings_unit_test.cc
+++ b/tests/closings_unit_test.cc
@@ -12,6 +12,7 @@
 #include <catch2/catch.hpp>
 
 #include "core_harness.h"
+#include "emulated_fixtures.h"
 #include "emulator/seeded_day.h"
 
 namespace cassiaferry::emulator {
@@ -99,16 +100,7 @@
 
 // ---- [3] The gate -----------------------------------------------------------
 
-struct closed_keeper {
-  closed_keeper() : k(MakeKeeper(keeper_options{})) {
-    leased_worker_announced e;
-    e.info.life = {"life"};
-    e.info.capacity = {16'000, 1000, 0};
-    TakeKeeperEvent(k, now, e);
-    TickKeeper(k, now);
-    Look({});
-  }
-
+struct closed_keeper : keeper_of_one_owner {
   static run_ref Ref(const std::string& job) { return {{job, 0, 0, 0}, 1}; }
 
   void Order(const std::string& job, int64_t cpu, uint32_t expected_ms) {
@@ -118,23 +110,7 @@
     TakeOrders(k, now, kOwner, orders);
   }
 
-  void Look(const std::vector<run_ref>& running) {
-    look_answered e;
-    e.life = {"life"};
-    e.answer = worker_answer::ok;
-    e.clock_ms = ToMillis(now);
-    for (const run_ref& ref : running)
-      e.running.push_back({ref, 50});
-    TakeKeeperEvent(k, now, e);
-    TickKeeper(k, now);
-  }
-
-  size_t StartsCalled() const {
-    return static_cast<size_t>(std::count_if(
-        k.actions.begin(), k.actions.end(), [](const keeper_action& a) {
-          return std::holds_alternative<call_run_start>(a);
-        }));
-  }
+  size_t StartsCalled() const { return Calls<call_run_start>().size(); }
 
   // What the owner was told of the job's run; stopped: nothing yet.
   run_end_kind EndOf(const std::string& job) {
@@ -144,10 +120,6 @@
     }
     return run_end_kind::stopped;
   }
-
-  static constexpr incarnation kOwner{7};
-  micros now = Millis(1000);
-  keeper_state k;
 };
 
 // Guards against a start that was on its way when the domain was closed.
@@ -177,10 +149,7 @@
   SetClosed(k, true);
   TickKeeper(k, now);
   CHECK(k.runs.size() == 1);
-  CHECK(std::none_of(k.actions.begin(), k.actions.end(),
-                     [](const keeper_action& a) {
-                       return std::holds_alternative<call_run_stop>(a);
-                     }));
+  CHECK(Calls<call_run_stop>().empty());
   CHECK_FALSE(TakesLeasedWork(k, now));
   SetClosed(k, false);
   CHECK(TakesLeasedWork(k, now));
@@ -189,10 +158,7 @@
 // Guards against a worker that starts again in a closed domain and gets work.
 TEST_CASE_METHOD(closed_keeper, "worker_starts_again_while_closed_no_work") {
   SetClosed(k, true);
-  leased_worker_announced e;
-  e.info.life = {"other"};
-  e.info.capacity = {16'000, 1000, 0};
-  TakeKeeperEvent(k, now, e);
+  TakeKeeperEvent(k, now, Announcement("other"));
   TickKeeper(k, now);
   look_answered look;
   look.life = {"other"};
@@ -242,11 +208,7 @@
     return completed;
   }
 
-  void RequireNothingBroken() const {
-    for (const violation& v : w.violations)
-      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
-    REQUIRE(w.violations.empty());
-  }
+  void RequireNothingBroken() const { RequireNoneBroken(w.violations); }
 
   world w;
   int next = 0;
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "emulated_fixtures.h"
 #include "emulator/seeded_day.h"
 
 namespace cassiaferry::emulator {
@@ -39,31 +40,13 @@
     return -1;
   }
 
-  void RequireNothingBroken() const {
-    for (const violation& v : w.violations)
-      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
-    REQUIRE(w.violations.empty());
-  }
+  void RequireNothingBroken() const { RequireNoneBroken(w.violations); }
 
   world w;
   int next = 0;
 };
 
-// A keeper with a worker that answers, and one owner.
-struct one_keeper {
-  one_keeper() : k(MakeKeeper(keeper_options{})) {
-    TakeKeeperEvent(k, now, Announcement("life"));
-    TickKeeper(k, now);
-    Look({});
-  }
-
-  static leased_worker_announced Announcement(const std::string& life) {
-    leased_worker_announced e;
-    e.info.life = {life};
-    e.info.capacity = {16'000, 1000, 0};
-    return e;
-  }
-
+struct one_keeper : keeper_of_one_owner {
   static run_ref Ref(const std::string& job, uint32_t run) {
     return {{job, 0, 0, 0}, run};
   }
@@ -74,32 +57,6 @@
     orders.starts.push_back({Ref(job, run), {1000, 10, 0}, 100, ""});
     return orders;
   }
-
-  // The look under way is answered, and the next one sent.
-  void Look(const std::vector<run_ref>& running) {
-    look_answered e;
-    e.life = {"life"};
-    e.answer = worker_answer::ok;
-    e.clock_ms = ToMillis(now);
-    for (const run_ref& ref : running)
-      e.running.push_back({ref, 50});
-    TakeKeeperEvent(k, now, e);
-    TickKeeper(k, now);
-  }
-
-  template <typename Call>
-  std::vector<Call> Calls() const {
-    std::vector<Call> calls;
-    for (const keeper_action& a : k.actions) {
-      if (const auto* call = std::get_if<Call>(&a))
-        calls.push_back(*call);
-    }
-    return calls;
-  }
-
-  static constexpr incarnation kOwner{7};
-  micros now = Millis(1000);
-  keeper_state k;
 };
 
 // ---- [2] Calm ---------------------------------------------------------------
@@ -764,9 +721,7 @@
     }
     w.Pass(Millis(40'000));
     INFO("seed " << seed);
-    for (const violation& v : w.violations)
-      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
-    REQUIRE(w.violations.empty());
+    RequireNoneBroken(w.violations);
     REQUIRE(w.Count(job_fate::open) == 0);
   }
 }
--- a/tests/worker_lives_unit_test.cc
+++ b/tests/worker_lives_unit_test.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "emulated_fixtures.h"
 #include "emulator/seeded_day.h"
 
 namespace cassiaferry::emulator {
@@ -48,11 +49,7 @@
     return starts;
   }
 
-  void RequireNothingBroken() const {
-    for (const violation& v : w.violations)
-      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
-    REQUIRE(w.violations.empty());
-  }
+  void RequireNothingBroken() const { RequireNoneBroken(w.violations); }
 
   static constexpr uint32_t kTasks = 4;
   world w;
