Sight: where runs are placed, why they end, and on whose word a worker is lost

The record of two runs at once can't tell its hypotheses apart: no line says which worker a task was placed on, whether its job still had a caller, by whose word a run was given up, or why a sidecar took its worker for gone.

Entries: 'runs placed' with worker and run number, callers that wait in 'job started', whether a sidecar told an end or its silence was taken for one, and 'caller gone, of no open job' with a count on the metrics page. Sidecars: a line an end, and the cause beside 'worker lost'. No decision changes.

--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -230,6 +230,7 @@
   uint64_t jobs_cancelled = 0;
   uint64_t jobs_refused = 0;
   uint64_t jobs_accepted = 0;
+  uint64_t callers_gone_unknown = 0;  // of no job that is open
   uint64_t runs_ordered = 0;
   uint64_t runs_ended[kRunEndKinds] = {};  // by run_end_kind
 };
--- a/include/cassiaferry/leases.h
+++ b/include/cassiaferry/leases.h
@@ -63,6 +63,9 @@
   auto operator<=>(const leased_task&) const = default;
 };
 
+// "JOB.OCCURRENCE.STEP.INDEX", as in logs.
+std::string ToText(const leased_task& task);
+
 // One start of a task. Runs of a task are numbered upwards: a worker refuses a
 // run that is not above every run it has stopped or ended.
 struct run_ref {
@@ -71,6 +74,8 @@
   auto operator<=>(const run_ref&) const = default;
 };
 
+std::string ToText(const run_ref& ref);  // the task, ", run " and its number
+
 enum class run_end_kind : uint8_t {
   done,
   failed,         // the task or its worker's fault
--- a/src/core/entry.cc
+++ b/src/core/entry.cc
@@ -37,8 +37,8 @@
   void operator()(job_submitted& e) { SubmitJob(s, now, std::move(e)); }
   void operator()(job_invalid& e) { RefuseInvalid(s, now, std::move(e)); }
   void operator()(caller_gone& e) {
-    DropCaller(s, now, e.ticket);
-    DropLeasedCaller(s, now, e.ticket);
+    if (!DropCaller(s, now, e.ticket))
+      DropLeasedCaller(s, now, e.ticket);
   }
   void operator()(sidecar_frame_received& e) { TakeSidecarFrame(s, now, e); }
   void operator()(sidecar_link_lost& e) { LoseLink(s, now, e.link); }
--- a/src/core/entry_jobs.cc
+++ b/src/core/entry_jobs.cc
@@ -510,11 +510,13 @@
   }
 }
 
-void DropCaller(entry_state& s, micros now, ticket_id ticket) {
+bool DropCaller(entry_state& s, micros now, ticket_id ticket) {
   const auto it = s.tickets.find(ticket);
-  if (it != s.tickets.end())
-    FailJob(s, now, it->second, reason::cancelled,
-            "the caller closed its connection", 0);
+  if (it == s.tickets.end())
+    return false;
+  FailJob(s, now, it->second, reason::cancelled,
+          "the caller closed its connection", 0);
+  return true;
 }
 
 // ---- [7] Claims -------------------------------------------------------------
--- a/src/core/entry_systems.h
+++ b/src/core/entry_systems.h
@@ -20,7 +20,8 @@
 
 void SubmitJob(entry_state& s, micros now, job_submitted event);
 void RefuseInvalid(entry_state& s, micros now, job_invalid event);
-void DropCaller(entry_state& s, micros now, ticket_id ticket);
+// False: of no job on the own interface.
+bool DropCaller(entry_state& s, micros now, ticket_id ticket);
 void FailJob(entry_state& s,
              micros now,
              job_seq seq,
--- a/src/core/keeper_ends.cc
+++ b/src/core/keeper_ends.cc
@@ -83,6 +83,19 @@
   return k.held.empty() ? k.seen : k.held.begin()->first - 1;
 }
 
+namespace {
+
+void NoteEnd(keeper_state& k,
+             const kept_run& run,
+             run_end_kind how,
+             uint32_t run_ms) {
+  Note(k, "run ended",
+       ToText(run.start.ref) + ", " + ToText(how) + ", after_ms " +
+           std::to_string(run_ms) + ", owner " + ToHex(run.owner.value));
+}
+
+}  // namespace
+
 // `listed`: the worker's number of the end; 0: it listed none.
 void EndRun(keeper_state& k,
             micros now,
@@ -98,6 +111,7 @@
     how = listed == 0 ? run_end_kind::never_started : how;
   }
   const auto run_ms = static_cast<uint32_t>(ToMillis(now - run.since));
+  NoteEnd(k, run, how, run_ms);
   if (run.start.durable && listed != 0)
     HoldEnd(k, now, run.owner, {listed, run.start.ref, how}, run_ms);
   TellEnd(k, run.owner, run.start.ref, how, run_ms,
@@ -166,9 +180,7 @@
     if (it->second.end.ref != settled.ref)
       continue;
     Note(k, "held end settled",
-         settled.ref.task.job + "." + std::to_string(settled.ref.task.step) +
-             "." + std::to_string(settled.ref.task.index) + ", run " +
-             std::to_string(settled.ref.run) + ", " +
+         ToText(settled.ref) + ", " +
              kFates[static_cast<size_t>(settled.fate)] + ", by " +
              ToHex(by.value));
     if (settled.fate == end_fate::forget) {
--- a/src/core/keeper_lives.cc
+++ b/src/core/keeper_lives.cc
@@ -53,9 +53,10 @@
 
 }  // namespace
 
-void LoseWorker(keeper_state& k, micros now) {
+void LoseWorker(keeper_state& k, micros now, const std::string& why) {
   Note(k, "worker lost",
-       ToText(k.worker.life) + ", runs " + std::to_string(k.runs.size()));
+       ToText(k.worker.life) + ", runs " + std::to_string(k.runs.size()) +
+           ", " + why);
   EndAll(k, now, run_end_kind::lost);
   EndLife(k);
 }
@@ -150,7 +151,7 @@
     return;
   }
   if (k.has_worker)
-    LoseWorker(k, now);
+    LoseWorker(k, now, "announced: " + ToText(life));
   BeginLife(k, now, life);
 }
 
--- a/src/core/keeper_systems.h
+++ b/src/core/keeper_systems.h
@@ -37,8 +37,8 @@
 
 // Nothing runs on the worker that this process doesn't know.
 void Open(keeper_state& k);
-// The worker is gone, and with it all that ran there.
-void LoseWorker(keeper_state& k, micros now);
+// The worker is gone, and with it all that ran there. `why`: for the log.
+void LoseWorker(keeper_state& k, micros now, const std::string& why);
 // The worker has started again under its id, as this life.
 void BeginAgain(keeper_state& k, micros now, const worker_life& life);
 void Announce(keeper_state& k, micros now, leased_worker_announced e);
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -24,6 +24,15 @@
   return kNames[static_cast<size_t>(kind)];
 }
 
+std::string ToText(const leased_task& task) {
+  return task.job + "." + std::to_string(task.occurrence) + "." +
+         std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+std::string ToText(const run_ref& ref) {
+  return ToText(ref.task) + ", run " + std::to_string(ref.run);
+}
+
 std::string ToText(const worker_life& life) {
   return life.id + ", started " + std::to_string(life.started_ms);
 }
@@ -281,7 +290,7 @@
   if (end.number <= k.seen) {
     if (known)
       Note(k, "end passed over",
-           end.ref.task.job + ", number " + std::to_string(end.number) +
+           ToText(end.ref) + ", number " + std::to_string(end.number) +
                ", newest known " + std::to_string(k.seen));
     return;
   }
@@ -344,7 +353,7 @@
   const uint64_t look = k.looks_open;
   k.looks_open = 0;
   if (e.answer == worker_answer::other_life) {
-    LoseWorker(k, now);
+    LoseWorker(k, now, "another life answers at its address");
     return;
   }
   if (e.answer == worker_answer::stale_fence) {
@@ -390,7 +399,7 @@
   void operator()(const leased_worker_left& e) {
     const bool untold = e.life.started_ms == 0 && e.life.id == k.worker.life.id;
     if (IsCurrent(e.life) || (k.has_worker && untold))
-      LoseWorker(k, now);
+      LoseWorker(k, now, "it said goodbye");
   }
   void operator()(const run_start_answered& e) {
     if (IsCurrent(e.life))
@@ -431,10 +440,7 @@
     if (run.state == run_state::stopping || Vouched(k, now, run.owner))
       continue;
     Note(k, "run stopped, its owner is silent",
-         run.start.ref.task.job + "." +
-             std::to_string(run.start.ref.task.step) + "." +
-             std::to_string(run.start.ref.task.index) + ", owner " +
-             ToHex(run.owner.value));
+         ToText(run.start.ref) + ", owner " + ToHex(run.owner.value));
     StopRun(k, now, run);
   }
 }
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -409,8 +409,13 @@
 void DropLeasedCaller(entry_state& s, micros now, ticket_id ticket) {
   leased_state& l = s.leased;
   const auto it = l.tickets.find(ticket);
-  if (it == l.tickets.end())
+  if (it == l.tickets.end()) {
+    ++l.counters.callers_gone_unknown;
+    s.actions.push_back(
+        leased_decision{"caller gone, of no open job", "",
+                        "ticket " + std::to_string(ticket.value)});
     return;
+  }
   leased_job& job = l.jobs[it->second];
   std::erase(job.tickets, ticket);
   l.tickets.erase(it);
@@ -499,7 +504,20 @@
     Wait(s.leased, job, static_cast<uint32_t>(&row - job.tasks.data()));
 }
 
+// Ends that this entry concluded from silence have no number.
+std::string WhoToldText(const entry_state& s,
+                        micros now,
+                        worker_id id,
+                        const run_end& end) {
+  if (end.number != 0)
+    return ", told by its sidecar";
+  const leased_worker& w = s.leased.workers[id.value];
+  return ", its sidecar is silent, last word_ms " +
+         std::to_string(ToMillis(now - w.heard));
+}
+
 void LogRunEnd(entry_state& s,
+               micros now,
                worker_id id,
                const leased_job& job,
                const run_end& end) {
@@ -512,7 +530,7 @@
              std::to_string(end.ref.task.index) + ", run " +
              std::to_string(end.ref.run) + ", worker " +
              s.workers[id.value].name + ", after_ms " +
-             std::to_string(end.run_ms));
+             std::to_string(end.run_ms) + WhoToldText(s, now, id, end));
 }
 
 }  // namespace
@@ -580,7 +598,7 @@
   LearnFromRun(s, now, w, *job, *row, end);
   if (end.how == run_end_kind::never_started)
     w.avoid_until = now + kAvoidAfterRefusal;
-  LogRunEnd(s, id, *job, end);
+  LogRunEnd(s, now, id, *job, end);
   // Stored before the sidecar, and so its worker, may forget it.
   if (end.how == run_end_kind::done || end.how == run_end_kind::failed)
     AddUnsavedEnd(s, *job, id, end);
--- a/src/core/leased_metrics.cc
+++ b/src/core/leased_metrics.cc
@@ -63,6 +63,8 @@
   AppendMetric(out, "cassiaferry_leased_jobs_received_total", "",
                static_cast<double>(s.counters.jobs_received));
   AppendJobs(out, s.counters);
+  AppendMetric(out, "cassiaferry_leased_callers_gone_unknown_total", "",
+               static_cast<double>(s.counters.callers_gone_unknown));
   AppendMetric(out, "cassiaferry_leased_runs_ordered_total", "",
                static_cast<double>(s.counters.runs_ordered));
   AppendEnds(out, "cassiaferry_leased_runs_ended_total", s.counters.runs_ended);
--- a/src/core/leased_placing.cc
+++ b/src/core/leased_placing.cc
@@ -6,6 +6,9 @@
 //   [3] Overdue jobs
 
 #include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
 
 #include "cassiaferry/leased_jobs.h"
 #include "cassiaferry/pack.h"
@@ -84,7 +87,28 @@
   LogJob(s, "job started", job,
          "queued_ms " + std::to_string(ToMillis(now - job.arrival)) +
              ", placed " + std::to_string(job.placed) + " of " +
-             std::to_string(job.tasks.size()));
+             std::to_string(job.tasks.size()) + ", callers " +
+             std::to_string(job.tickets.size()));
+}
+
+// " WORKER STEP.INDEX run N", for the log.
+std::string PlacedText(const entry_state& s, const leased_task_row& row) {
+  return " " + s.workers[row.worker.value].name + " " +
+         std::to_string(row.task.step) + "." + std::to_string(row.task.index) +
+         " run " + std::to_string(row.run);
+}
+
+// Wide jobs name their first runs only: a line is bounded.
+void LogPlaced(entry_state& s,
+               const leased_job& job,
+               const std::vector<uint32_t>& placed) {
+  constexpr size_t kMostNamed = 16;
+  if (placed.empty())
+    return;
+  std::string text = "runs " + std::to_string(placed.size()) + ":";
+  for (size_t i = 0; i < std::min(kMostNamed, placed.size()); ++i)
+    text += PlacedText(s, job.tasks[placed[i]]);
+  LogJob(s, "runs placed", job, std::move(text));
 }
 
 // Places what it can of the job's waiting tasks, on few workers: the payload
@@ -95,6 +119,7 @@
   const bool first = !job.started;
   PackPayload(s.leased, job);
   std::vector<uint32_t> left;
+  std::vector<uint32_t> placed;
   std::optional<worker_id> worker;
   auto unplaced = static_cast<uint32_t>(job.waiting.size());
   for (uint32_t index : job.waiting) {
@@ -104,11 +129,11 @@
     --unplaced;
     if (worker)
       PlaceTask(s, now, job, index, *worker);
-    else
-      left.push_back(index);
+    (worker ? placed : left).push_back(index);
   }
   if (first && job.started)
     NoteStart(s, now, job);
+  LogPlaced(s, job, placed);
   job.waiting = std::move(left);
   if (job.waiting.empty())
     Dequeue(s.leased, job);
