The control thread takes calls and events in the order they were handed over

What callers saw: tasks of one job ran twice at a time. A caller's entry stood still; the caller gave up, closed its connection, and 1.3 s later sent the job again to another entry.

Cause: control_loop had two queues, one of calls and one of events. Requests came as calls, ends of connections as events; a batch ran its calls first, but what they posted came in the next tick, after the batch's events. So the end of a connection that was read with its request named a ticket that nobody knew yet, and was dropped; the job then had a caller that could never leave. 60 ms of settling after a pause wait for just that word, and could not help.

Ruled out: the HTTP server (it reads on while a request is handled, and tells each end once); settling that is too short (the end was read in the same turn).

Change: one queue, in order; what a call posts stands where the call stood. So no order between a call and an event is left to chance, here or elsewhere (the store's rows, closings, settings come as calls too).

--- a/src/net/control_loop.h
+++ b/src/net/control_loop.h
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <thread>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "cassiaferry/ids.h"
@@ -50,25 +51,18 @@
   // Before anything is posted.
   void WaitIn(waiter w) { waiter_ = std::move(w); }
 
-  // Any thread. The event is part of the next tick.
+  // Any thread. The event is part of the next tick. What is handed over, by
+  // `Post` or by `Call`, takes effect in that order.
   void Post(Event event) {
-    {
-      const std::lock_guard lock(mutex_);
-      NoteFirst();
-      events_.push_back(std::move(event));
-    }
-    Wake();
+    if (IsTaking())
+      batch_->push_back(std::move(event));
+    else
+      Add(std::move(event));
   }
 
-  // Any thread. The call runs on the control thread, before the next tick.
-  void Call(call function) {
-    {
-      const std::lock_guard lock(mutex_);
-      NoteFirst();
-      calls_.push_back(std::move(function));
-    }
-    Wake();
-  }
+  // Any thread. The call runs on the control thread, before the next tick; what
+  // it posts stands in that tick where the call stood.
+  void Call(call function) { Add(std::move(function)); }
 
   // Control thread. How long the oldest of what this tick handles has waited.
   micros Waited() const { return waited_; }
@@ -90,8 +84,7 @@
   void Run(std::chrono::milliseconds idle, TickFunction tick) {
     thread_ = std::this_thread::get_id();
     for (;;) {
-      std::vector<Event> events;
-      std::vector<call> calls;
+      std::vector<item> items;
       const std::chrono::milliseconds most = std::min(idle, within_);
       within_ = std::chrono::milliseconds::max();
       if (waiter_.wait)
@@ -102,26 +95,53 @@
           wake_.wait_for(lock, most, [&] { return HasWork(); });
         if (stopped_)
           return;
-        waited_ = events_.empty() && calls_.empty() ? micros{0}
-                                                    : Now() - first_posted_;
-        events.swap(events_);
-        calls.swap(calls_);
+        waited_ = items_.empty() ? micros{0} : Now() - first_posted_;
+        items.swap(items_);
       }
-      for (call& function : calls)
-        function();
-      tick(std::move(events));
+      tick(Take(std::move(items)));
     }
   }
 
  private:
+  using item = std::variant<Event, call>;
+
+  // Failure guarded against: calls and events in queues of their own. The end
+  // of a connection, an event, overtakes the request that a call is to submit:
+  // it names nothing that is known, and the request is served for nobody.
+  std::vector<Event> Take(std::vector<item> items) {
+    std::vector<Event> events;
+    batch_ = &events;
+    for (item& one : items) {
+      if (auto* function = std::get_if<call>(&one))
+        (*function)();
+      else
+        events.push_back(std::move(std::get<Event>(one)));
+    }
+    batch_ = nullptr;
+    return events;
+  }
+
+  // Whether a call on the control thread is asking.
+  bool IsTaking() const {
+    return std::this_thread::get_id() == thread_ && batch_ != nullptr;
+  }
+
+  void Add(item one) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (items_.empty())
+        first_posted_ = Now();
+      items_.push_back(std::move(one));
+    }
+    Wake();
+  }
+
   bool IsIdle() {
     const std::lock_guard lock(mutex_);
     return !HasWork();
   }
 
-  bool HasWork() const {
-    return stopped_ || !events_.empty() || !calls_.empty();
-  }
+  bool HasWork() const { return stopped_ || !items_.empty(); }
 
   // What the control thread posts itself, it takes before it waits again.
   void Wake() {
@@ -131,21 +151,16 @@
       waiter_.wake();
   }
 
-  void NoteFirst() {
-    if (events_.empty() && calls_.empty())
-      first_posted_ = Now();
-  }
-
   waiter waiter_;
   std::atomic<std::thread::id> thread_{};  // that runs the loop
   std::mutex mutex_;
   std::condition_variable wake_;
-  std::vector<Event> events_;
-  std::vector<call> calls_;
-  micros first_posted_{0};  // of what is queued now
-  micros waited_{0};        // control thread only
-  std::chrono::milliseconds within_ = std::chrono::milliseconds::max();  // too
-  bool stopped_ = false;
+  std::vector<item> items_;  // in the order in which they were handed over
+  micros first_posted_{0};   // of what is queued now
+  std::vector<Event>* batch_ = nullptr;  // control thread only, as what follows
+  micros waited_{0};
+  std::chrono::milliseconds within_ = std::chrono::milliseconds::max();
+  bool stopped_ = false;  // guarded by `mutex_`
 };
 
 }  // namespace cassiaferry
