An entry takes no job whose caller has left by the time it reads it

A request is read, and what lies behind it, the end of its connection, some hundred milliseconds later; meanwhile its tasks start, beside those of the entry to which the caller has sent the job again.

Cause: that the caller has gone is known in the socket, and found out by reading on. 60 ms of settling after a pause are a time, not a proof: they are too short for a process with little of the processor, and a process that is merely slow has no pause.

Ruled out: longer settling (every pause would cost its callers that time); waiting for the end of a connection before each start (costs each job).

Change: with each request the server asks the kernel whether the other side has closed the connection, whatever is still unread (POLLRDHUP; one call a request). A job that needs not be stored, and whose caller has left, isn't taken, and is logged. Durable jobs, cancels and announcements are taken as before: they are to take effect though nobody waits. The HTTP library doesn't tell whose bytes it handles; a socket type of its own, which it allows, remembers that.

--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -150,6 +150,15 @@
   }
   event.request.id = platform::ReadCall(r, queue).job_id;
   event.request.queue = queue.name;
+  // Failure guarded against: this process stood still, or has little processor
+  // time, and starts a job whose caller has left and sent it again elsewhere;
+  // the end of the connection lies behind the request, still unread.
+  if (r.caller_left && !event.request.durable) {
+    LogEvent(kPart, "job not taken",
+             {{"job", event.request.id},
+              {"why", "its caller had left when it was read"}});
+    return;
+  }
   loop_.Post(std::move(event));
 }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -2,6 +2,8 @@
 
 #include "http_server.h"
 
+#include <poll.h>
+
 #include <charconv>
 #include <map>
 #include <mutex>
@@ -90,7 +92,42 @@
   }
 };
 
+// Remembers whose bytes the server's thread handles: the library doesn't tell.
+class caller_socket : public restinio::asio_ns::ip::tcp::socket {
+ public:
+  using restinio::asio_ns::ip::tcp::socket::socket;
+
+  // NOLINTNEXTLINE(readability-identifier-naming): the library's name
+  template <typename Buffers, typename Handler>
+  void async_read_some(const Buffers& buffers, Handler&& handler) {
+    const auto executor = restinio::asio_ns::get_associated_executor(handler);
+    restinio::asio_ns::ip::tcp::socket::async_read_some(
+        buffers, restinio::asio_ns::bind_executor(
+                     executor, [this, handler = std::forward<Handler>(handler)](
+                                   const restinio::asio_ns::error_code& error,
+                                   size_t n) mutable {
+                       reading = native_handle();
+                       handler(error, n);
+                       reading = -1;
+                     }));
+  }
+
+  // Of this thread; -1: none.
+  static thread_local int reading;
+};
+
+thread_local int caller_socket::reading = -1;
+
+// Whether the other side has closed the connection, also while bytes that it
+// sent before are unread.
+bool HasEnded(int socket) {
+  pollfd state{socket, POLLRDHUP, 0};
+  return poll(&state, 1, 0) == 1 &&
+         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 struct server_traits : public restinio::default_traits_t {
+  using stream_socket_t = caller_socket;
   using logger_t = restinio::null_logger_t;
   using request_handler_t = std::function<restinio::request_handling_status_t(
       restinio::request_handle_t)>;
@@ -173,6 +210,7 @@
   }
   const ticket_id ticket{next_ticket++};
   http_request r = ReadRequest(request, options.keep_headers, ticket);
+  r.caller_left = HasEnded(caller_socket::reading);
   pending.Add(ticket, request);
   on_request(std::move(r));
   return restinio::request_accepted();
