Callers who have left are found out by asking the kernel

What callers saw: as before, tasks that run for a caller who has left, while the entry to which it sent the job again runs them too. Two ways, both found by looking for the same cause elsewhere: jobs that waited before the entry stood still start when it wakes, as on little processor time the ends of their callers' connections are read after the 60 ms of settling; and a caller that leaves with several requests open on one connection is never seen to go, as the HTTP library reads no further (found by the review).

Cause: that a caller has gone counted only once the library had read as far as the end of the connection; nothing bounds when that is.

Ruled out: more requests in line (moves the limit); longer settling.

Change: after over 100 ms without a tick, and each 200 ms, the control thread asks the kernel which of the open requests' connections the other side has closed, in one call; these callers count as gone in that tick, before anything starts. A caller sends again 1.3 s after it left, so 0.2 s is soon enough.

--- a/src/apps/entry_app.cc
+++ b/src/apps/entry_app.cc
@@ -252,8 +252,10 @@
 void entry_app::Run() {
   loop_.Run(kIdleTick, [this](std::vector<entry_event> events) {
     events.push_back(wall_clock{WallMillis()});
-    if (HasLeasedJobs())
+    if (HasLeasedJobs()) {
       TickLeased();
+      DropCallersLeft(events);
+    }
     std::vector<entry_action> actions = Tick(state_, Now(), std::move(events));
     for (entry_action& action : actions) {
       drained_ = drained_ || std::holds_alternative<entry_drained>(action);
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -98,6 +98,7 @@
   void StartLeased();
   void LogStart();    // after the ready line, which comes first
   void TickLeased();  // on the control thread, before each tick
+  void DropCallersLeft(std::vector<entry_event>& events);  // too
   void OnCall(const http_request& r);
   void TakeCall(const http_request& r);  // on the control thread
   void SubmitCall(const http_request& r, const queue_config& queue);
@@ -182,6 +183,8 @@
   row_store store_;
   std::unique_ptr<row_watch> config_watch_;  // control thread only
   domain_closings closings_read_;            // too; from the operator's rows
+  micros last_tick_{0};                      // control thread only
+  micros next_look_at_callers_{0};           // control thread only
   bool store_connected_ = false;             // control thread only
   bool address_published_ = false;           // control thread only
   bool publishing_ = false;                  // control thread only
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -33,6 +33,9 @@
 constexpr int64_t kConfigFeedWaitMs = 1000;
 constexpr micros kPublishRetry = Millis(300);
 constexpr size_t kLeasedBodyBytes = 1 << 20;
+// Between two ticks; an idle process has one each 20 ms.
+constexpr micros kStoodStill = Millis(100);
+constexpr micros kLookAtCallers = Millis(200);
 
 }  // namespace
 
@@ -236,6 +239,27 @@
   ready_ = IsReady(state_) && !draining_;
 }
 
+// Failure guarded against: a caller has left, and that isn't read: this process
+// stood still and has too little processor time to read it before it starts the
+// caller's job, or the HTTP server reads no more while several requests of one
+// connection are open. So the kernel is asked, soon enough to end all before
+// the caller sends again, and before anything starts after a pause.
+void entry_app::DropCallersLeft(std::vector<entry_event>& events) {
+  const micros now = Now();
+  const bool stood_still =
+      last_tick_.value != 0 && now - last_tick_ > kStoodStill;
+  last_tick_ = now;
+  if (!stood_still && now < next_look_at_callers_)
+    return;
+  next_look_at_callers_ = now + kLookAtCallers;
+  const std::vector<ticket_id> left = callers_->CallersLeft();
+  for (ticket_id ticket : left)
+    events.emplace_back(caller_gone{ticket});
+  if (stood_still)
+    LogEvent(kPart, "stood still",
+             {{"callers", callers_->Pending()}, {"left", left.size()}});
+}
+
 // ---- [4] Answers and log ----------------------------------------------------
 
 void entry_app::LogDecision(const leased_decision& d) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -27,12 +27,34 @@
 
 using connection_key = uint64_t;
 
+// Asks the kernel which of these the other side has closed, also while bytes
+// that it sent before are unread.
+void FindEnded(std::vector<pollfd>& sockets) {
+  for (pollfd& socket : sockets)
+    socket.events = POLLRDHUP;
+  if (poll(sockets.data(), sockets.size(), 0) >= 0)
+    return;
+  for (pollfd& socket : sockets)
+    socket.revents = 0;
+}
+
+bool HasEnded(const pollfd& socket) {
+  return (socket.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+bool HasEnded(int socket) {
+  std::vector<pollfd> one = {{socket, 0, 0}};
+  FindEnded(one);
+  return HasEnded(one.front());
+}
+
 // Requests under way, by ticket and by connection.
 class pending_table {
  public:
-  void Add(ticket_id ticket, restinio::request_handle_t request) {
+  void Add(ticket_id ticket, restinio::request_handle_t request, int socket) {
     const std::lock_guard lock(mutex_);
     by_connection_.emplace(request->connection_id(), ticket);
+    sockets_.emplace(ticket, socket);
     requests_.emplace(ticket, std::move(request));
   }
 
@@ -43,6 +65,7 @@
       return nullptr;
     restinio::request_handle_t request = std::move(it->second);
     requests_.erase(it);
+    sockets_.erase(ticket);
     const auto [first, last] =
         by_connection_.equal_range(request->connection_id());
     for (auto i = first; i != last; ++i) {
@@ -63,6 +86,23 @@
     return tickets;
   }
 
+  // A socket may be closed, and its number in use again, before its connection
+  // is taken out here; whatever is found then, the connection has ended.
+  std::vector<ticket_id> Ended() const {
+    const std::lock_guard lock(mutex_);
+    std::vector<pollfd> sockets;
+    for (const auto& [ticket, socket] : sockets_)
+      sockets.push_back({socket, 0, 0});
+    FindEnded(sockets);
+    std::vector<ticket_id> ended;
+    size_t i = 0;
+    for (const auto& [ticket, socket] : sockets_) {
+      if (HasEnded(sockets[i++]))
+        ended.push_back(ticket);
+    }
+    return ended;
+  }
+
   size_t Size() const {
     const std::lock_guard lock(mutex_);
     return requests_.size();
@@ -72,12 +112,14 @@
     std::unordered_map<ticket_id, restinio::request_handle_t> requests;
     const std::lock_guard lock(mutex_);
     requests.swap(requests_);
+    sockets_.clear();
     by_connection_.clear();
   }
 
  private:
   mutable std::mutex mutex_;
   std::unordered_map<ticket_id, restinio::request_handle_t> requests_;
+  std::unordered_map<ticket_id, int> sockets_;
   std::multimap<connection_key, ticket_id> by_connection_;
 };
 
@@ -118,14 +160,6 @@
 
 thread_local int caller_socket::reading = -1;
 
-// Whether the other side has closed the connection, also while bytes that it
-// sent before are unread.
-bool HasEnded(int socket) {
-  pollfd state{socket, POLLRDHUP, 0};
-  return poll(&state, 1, 0) == 1 &&
-         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 struct server_traits : public restinio::default_traits_t {
   using stream_socket_t = caller_socket;
   using logger_t = restinio::null_logger_t;
@@ -211,7 +245,7 @@
   const ticket_id ticket{next_ticket++};
   http_request r = ReadRequest(request, options.keep_headers, ticket);
   r.caller_left = HasEnded(caller_socket::reading);
-  pending.Add(ticket, request);
+  pending.Add(ticket, request, caller_socket::reading);
   on_request(std::move(r));
   return restinio::request_accepted();
 }
@@ -294,6 +328,10 @@
     Write(request, response);
 }
 
+std::vector<ticket_id> http_server::CallersLeft() const {
+  return impl_->pending.Ended();
+}
+
 size_t http_server::Pending() const {
   return impl_->pending.Size();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -71,6 +71,10 @@
   void Answer(ticket_id ticket,
               const http_response& response);  // any thread, once each
   size_t Pending() const;                      // requests not yet answered
+  // Of these, the ones whose callers have closed their connections, also where
+  // that is still unread and `on_gone` not yet called. Any thread; a call of
+  // the kernel.
+  std::vector<ticket_id> CallersLeft() const;
   void Stop();
 
  private:
