A look's answer names its look

What callers could see: a task that runs twice at a time. The keeper took any answer of the life that it calls for one to the newest look. One of an earlier look, given up when a life was taken for over and met again, passed for newer than it is: runs confirmed, or stops answered, since it was sent are not on its list, and counted as over while they go on.

Change: looks are numbered, and an answer to another than the newest is passed over, save "another life answers", which holds whenever it was asked.

The other tests gain the number in the answers that they make up, and check what they did.

--- a/include/cassiaferry/lease_keeper.h
+++ b/include/cassiaferry/lease_keeper.h
@@ -117,6 +117,7 @@
   uint32_t percent = 0;  // of its work, done
 };
 struct look_answered {
+  uint64_t number = 0;  // of the look
   worker_life life;
   worker_answer answer = worker_answer::none;
   int64_t started_ms = 0;  // of the life that answered; 0: it didn't tell
@@ -148,6 +149,7 @@
 };
 // Asks what runs and what has ended, and extends the lease.
 struct call_look {
+  uint64_t number = 0;  // from 1, over all lives
   worker_life life;
   uint64_t fence = 0;
   uint64_t seen = 0;           // ends up to this number are forgotten
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -183,6 +183,7 @@
   k.looks_open = ++k.looks_sent;
   k.look_called = now;
   call_look look;
+  look.number = k.looks_open;
   look.life = k.worker.life;
   look.fence = k.fence;
   look.seen = EndsToAcknowledge(k);
@@ -350,12 +351,16 @@
 }
 
 void TakeLook(keeper_state& k, micros now, const look_answered& e) {
-  const uint64_t look = k.looks_open;
-  k.looks_open = 0;
   if (e.answer == worker_answer::other_life) {
     LoseWorker(k, now, "another life answers at its address");
     return;
   }
+  // Failure guarded against: a look that was given up is answered after a later
+  // one was sent. What has begun between the two is not on its list, and would
+  // pass for over.
+  if (e.number != k.looks_open)
+    return;
+  k.looks_open = 0;
   if (e.answer == worker_answer::stale_fence) {
     RaiseFence(k);
     return;
@@ -376,7 +381,7 @@
   k.clock_at = now;
   for (const listed_end& end : e.ended)
     TakeListedEnd(k, now, end);
-  CompareRunning(k, now, look, e.running);
+  CompareRunning(k, now, e.number, e.running);
   TakeProgress(k, now, e.running);
   MeasurePace(k, now);
   FindStragglers(k, now);
--- a/src/emulator/worker_world.cc
+++ b/src/emulator/worker_world.cc
@@ -88,6 +88,7 @@
     });
   } else if (const auto* look = std::get_if<call_look>(&call)) {
     look_answered none;
+    none.number = look->number;
     none.life = look->life;
     time_out(look->timeout_ms, none);
     At(arrives, [this, sidecar, c = *look, answers, answer] {
@@ -244,6 +245,7 @@
 look_answered world::DoLook(int worker, const call_look& c) {
   emulated_worker& w = workers[static_cast<size_t>(worker)];
   look_answered a;
+  a.number = c.number;
   a.life = c.life;
   if (c.life.id != w.id) {
     a.answer = worker_answer::other_life;
--- a/tests/closings_unit_test.cc
+++ b/tests/closings_unit_test.cc
@@ -161,6 +161,7 @@
   TakeKeeperEvent(k, now, Announcement("other"));
   TickKeeper(k, now);
   look_answered look;
+  look.number = k.looks_open;
   look.life = {"other"};
   look.answer = worker_answer::ok;
   look.clock_ms = 1;
--- a/tests/emulated_fixtures.h
+++ b/tests/emulated_fixtures.h
@@ -44,6 +44,7 @@
   // The look under way is answered, and the next one sent.
   void Look(const std::vector<run_ref>& running) {
     look_answered e;
+    e.number = k.looks_open;
     e.life = {"life"};
     e.answer = worker_answer::ok;
     e.clock_ms = ToMillis(now);
--- a/tests/idle_pairs_unit_test.cc
+++ b/tests/idle_pairs_unit_test.cc
@@ -77,6 +77,7 @@
 
   void Answer() {
     look_answered look;
+    look.number = k.looks_open;
     look.life = {"life"};
     look.answer = worker_answer::ok;
     look.clock_ms = ToMillis(now);
@@ -140,6 +141,7 @@
   for (uint32_t i = 0; i < 3; ++i) {
     now = now + Millis(10);
     look_answered look;
+    look.number = k.looks_open;
     look.life = {"life"};
     look.answer = worker_answer::ok;
     look.clock_ms = ToMillis(now);
--- a/tests/leased_unit_test.cc
+++ b/tests/leased_unit_test.cc
@@ -378,6 +378,7 @@
   for (int i = 0; i < 60; ++i) {
     now = now + Millis(50);
     look_answered e;
+    e.number = k.looks_open;
     e.life = {"life"};
     e.answer = worker_answer::ok;
     e.clock_ms = ToMillis(now);
@@ -579,6 +580,7 @@
     return looks.empty() ? uint64_t{0} : looks.back().seen;
   };
   look_answered found;
+  found.number = k.looks_open;
   found.life = {"life"};
   found.answer = worker_answer::ok;
   found.clock_ms = ToMillis(now);
@@ -632,6 +634,7 @@
   Look({});
   const int64_t calm = Calls<call_look>().back().wait_ms;
   look_answered none;
+  none.number = k.looks_open;
   none.life = {"life"};
   TakeKeeperEvent(k, now, none);
   now = now + Millis(200);
--- a/tests/starts_wait_unit_test.cc
+++ b/tests/starts_wait_unit_test.cc
@@ -64,6 +64,7 @@
   void Look(const std::vector<run_ref>& running,
             const std::vector<listed_end>& ended) {
     look_answered e;
+    e.number = k.looks_open;
     e.life = {"life"};
     e.answer = worker_answer::ok;
     e.clock_ms = ToMillis(now);
--- a/tests/worker_lives_unit_test.cc
+++ b/tests/worker_lives_unit_test.cc
@@ -134,6 +134,7 @@
   look_answered Look(const worker_life& life,
                      const std::vector<run_ref>& running) const {
     look_answered e;
+    e.number = k.looks_open;
     e.life = k.worker.life;
     e.answer = worker_answer::ok;
     e.started_ms = life.started_ms;
@@ -220,6 +221,22 @@
   REQUIRE(Told().empty());
 }
 
+// Guards against a list of before a run began, on which it isn't, that passes
+// for a newer one: the run would count as over while it goes on.
+TEST_CASE_METHOD(keeper_of_a_life,
+                 "look_given_up_answered_late_ends_no_run_that_began_since") {
+  const look_answered late = Look(first, {});
+  Announce(again, 1);
+  Answer(first, {the_run});  // it was no new life
+  Answer(first, {the_run});
+  AnswerStop();
+  Answer(first, {the_run});
+  TakeKeeperEvent(k, now, late);
+  REQUIRE(Told().empty());
+  Answer(first, {});
+  REQUIRE(Told().size() == 1);
+}
+
 // What a user sees: a task that runs twice at a time, or room that is exceeded.
 // Order: orders to the life before are still under way when the new one starts;
 // the fence of the first call to it keeps them out.
