--- a/src/apps/emulate_main.cc
+++ b/src/apps/emulate_main.cc
@@ -25,6 +25,10 @@
 DEFINE_bool(closes_domains,
             false,
             "with --days or --replay: failure domains are closed and opened");
+DEFINE_bool(late_words,
+            false,
+            "with --days or --replay: announcements of past lives come late, "
+            "and workers go on for seconds after their goodbye");
 DEFINE_bool(bound,
             false,
             "play the load against the most that any schedule could earn, and "
@@ -65,7 +69,7 @@
 
 day_options DayOf(uint64_t seed) {
   return {seed, FLAGS_one_way_cuts, FLAGS_workers_keep_ids,
-          FLAGS_closes_domains};
+          FLAGS_closes_domains, FLAGS_late_words};
 }
 
 int PlayDays() {
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -18,6 +18,7 @@
 constexpr micros kIdleTick = Millis(50);
 constexpr micros kWaitingTick = Millis(5);  // of a sidecar where starts wait
 constexpr micros kWakeUp{100};
+constexpr micros kShortDrain = Millis(200);  // runs are there at the goodbye
 
 void Extend(micros& until, micros later) {
   until = std::max(until, later);
@@ -49,7 +50,10 @@
 
 // ---- [1] Time ---------------------------------------------------------------
 
-world::world(const world_options& o) : options(o), random(options.seed) {
+world::world(const world_options& o)
+    : options(o),
+      random(options.seed),
+      late_words(static_cast<uint32_t>(options.seed) + 1) {
   options.bounds = BoundsFor(Millis(1000), options.resend_after);
   workers.resize(static_cast<size_t>(options.workers));
   entries.resize(static_cast<size_t>(options.entries));
@@ -163,6 +167,7 @@
   s.inbox.clear();
   s.tick_due = false;
   TickWhenIdle(s, [this, sidecar] { WakeSidecar(sidecar); });
+  SendLateWord(sidecar);
 }
 
 // An entry or a sidecar ticks soon, once, whatever arrives until then.
@@ -530,6 +535,7 @@
 
 void world::RestartWorker(int worker) {
   emulated_worker& w = workers[static_cast<size_t>(worker)];
+  KeepWord(worker);
   w.up = true;
   ++w.lives;
   w.started_ms = ToMillis(now);
@@ -556,13 +562,24 @@
   Log("fault", "roll worker " + std::to_string(worker));
   DrainWorker(worker);
   const uint64_t lives = workers[static_cast<size_t>(worker)].lives;
-  At(now + options.drain_within + Millis(500), [this, worker, lives, down_for] {
+  const micros drains =
+      options.late_words ? kShortDrain : options.drain_within + Millis(500);
+  const auto ends = [this, worker, lives, down_for] {
+    const emulated_worker& w = workers[static_cast<size_t>(worker)];
+    if (w.up && w.lives == lives)
+      CrashWorker(worker, down_for);
+  };
+  At(now + drains, [this, worker, lives, ends] {
     const emulated_worker& w = workers[static_cast<size_t>(worker)];
     if (!w.up || w.lives != lives)
       return;
+    Log("worker " + std::to_string(worker), "says goodbye");
     Deliver(worker, sidecars[static_cast<size_t>(worker)].lives,
-            leased_worker_left{{w.id, w.started_ms}});
-    CrashWorker(worker, down_for);
+            leased_worker_left{AnnouncementOf(worker).info.life});
+    if (options.late_words)
+      At(now + GoesOnAfterGoodbye(), ends);
+    else
+      ends();
   });
 }
 
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -75,6 +75,10 @@
   bool one_way_cuts = false;  // of AddProcessFault
   // A worker starts again under the id that it had, and counts anew.
   bool workers_keep_ids = false;
+  // Announcements of past lives are held up and reach later sidecars, and
+  // workers go on for seconds after they said goodbye, with runs. Nobody tells
+  // when a life began.
+  bool late_words = false;
   // Of a core, for each entry in turn; empty: no bound.
   std::vector<double> entry_processors;
   processor_costs costs;
@@ -105,6 +109,7 @@
   bool fails_all = false;
   bool draining = false;
   micros leaves_told{0};  // its sidecar has heard that it drains; 0: not yet
+  std::vector<leased_worker_announced> past;  // newest words of earlier lives
   double slowness = 1;
   double late_share = 0;  // of orders: no answer, carried out seconds later
   double clock_rate = 1;  // against true time
@@ -271,6 +276,7 @@
 
   world_options options;
   std::mt19937_64 random;
+  std::minstd_rand late_words;  // drawn apart, so that other days stay
   micros now = Millis(1000);
   std::vector<emulated_worker> workers;
   std::vector<emulated_entry> entries;
@@ -352,6 +358,10 @@
   void AdvanceWorker(int worker);
   void NoteRoom(int worker);
   void AnnounceWorker(int worker);
+  leased_worker_announced AnnouncementOf(int worker) const;
+  void KeepWord(int worker);      // of the life that ends, to come late
+  void SendLateWord(int worker);  // to a sidecar that has just started
+  micros GoesOnAfterGoodbye();
   void CheckStart(int worker, const run_start& start);
 
   // Durable jobs (durable_world.cc).
--- a/src/emulator/seeded_day.cc
+++ b/src/emulator/seeded_day.cc
@@ -84,6 +84,8 @@
     w.RollWorker(worker, Millis(ms % kShortestMs));
   else if (w.options.workers_keep_ids && ms % 3 == 1)
     w.CrashWorker(worker, Millis(ms % kShortestMs));
+  else if (w.options.late_words && ms % 2 == 0)
+    w.RollWorker(worker, Millis(ms % kShortestMs));
   else
     w.CrashWorker(worker, time);
 }
@@ -158,6 +160,7 @@
   options.has_store = true;
   options.one_way_cuts = day.one_way_cuts;
   options.workers_keep_ids = day.workers_keep_ids;
+  options.late_words = day.late_words;
   options.domains = day.closes_domains ? kClosingDomains : options.domains;
   world w(options);
   w.log = log;
--- a/src/emulator/seeded_day.h
+++ b/src/emulator/seeded_day.h
@@ -29,6 +29,8 @@
   bool workers_keep_ids = false;
   // Operators close failure domains for new work and open them again.
   bool closes_domains = false;
+  // Announcements of past lives come late, and workers go on after a goodbye.
+  bool late_words = false;
 };
 
 // One fault, for about `time`, of an entry, a sidecar, a worker or the link
--- a/src/emulator/worker_world.cc
+++ b/src/emulator/worker_world.cc
@@ -3,6 +3,7 @@
 // Contents
 //   [1] Orders to workers
 //   [2] What workers do
+//   [3] Late words
 
 #include "leased_world.h"
 
@@ -261,7 +262,7 @@
   std::erase_if(w.ended,
                 [&](const listed_end& e) { return e.number <= c.seen; });
   a.answer = worker_answer::ok;
-  a.started_ms = w.started_ms;
+  a.started_ms = options.late_words ? 0 : w.started_ms;
   a.clock_ms = ClockOf(w);
   for (const auto& [task, run] : w.runs)
     a.running.push_back({{task, run.run}, PercentOf(run)});
@@ -310,19 +311,52 @@
 void world::AnnounceWorker(int worker) {
   emulated_worker& w = workers[static_cast<size_t>(worker)];
   if (w.up && !w.silent) {
-    leased_worker_announced e;
-    e.info.life = {w.id, w.started_ms};
-    e.info.upstream = kUpstream;
-    e.info.capacity = CapacityOf(worker);
-    e.info.labels = w.labels;
-    e.sequence = ++w.announcements;
-    e.draining = w.draining;
+    ++w.announcements;
     const emulated_sidecar& s = sidecars[static_cast<size_t>(worker)];
     if (w.draining && w.leaves_told.value == 0 && s.state == process_state::up)
       w.leaves_told = now;
-    Deliver(worker, s.lives, e);
+    Deliver(worker, s.lives, AnnouncementOf(worker));
   }
   At(now + options.announce_every, [this, worker] { AnnounceWorker(worker); });
 }
 
+leased_worker_announced world::AnnouncementOf(int worker) const {
+  const emulated_worker& w = workers[static_cast<size_t>(worker)];
+  leased_worker_announced e;
+  e.info.life = {w.id, options.late_words ? 0 : w.started_ms};
+  e.info.upstream = kUpstream;
+  e.info.capacity = CapacityOf(worker);
+  e.info.labels = w.labels;
+  e.sequence = w.announcements;
+  e.draining = w.draining;
+  return e;
+}
+
+// ---- [3] Late words ---------------------------------------------------------
+
+void world::KeepWord(int worker) {
+  if (options.late_words)
+    workers[static_cast<size_t>(worker)].past.push_back(AnnouncementOf(worker));
+}
+
+void world::SendLateWord(int worker) {
+  const emulated_worker& w = workers[static_cast<size_t>(worker)];
+  if (w.past.empty())
+    return;
+  constexpr uint32_t kWithinMs = 3000;
+  const size_t which = late_words() % w.past.size();
+  const micros comes = now + Millis(late_words() % kWithinMs);
+  const uint64_t life = sidecars[static_cast<size_t>(worker)].lives;
+  At(comes, [this, worker, life, word = w.past[which]] {
+    Log("worker " + std::to_string(worker),
+        "late announcement of " + word.info.life.id);
+    Deliver(worker, life, word);
+  });
+}
+
+micros world::GoesOnAfterGoodbye() {
+  constexpr uint32_t kMostMs = 3000;
+  return Millis(late_words() % kMostMs);
+}
+
 }  // namespace cassiaferry::emulator
