An announcement of another life ends no run: the worker is asked

Cause: an announcement of an earlier life, held up in the network, reached a sidecar that had started since and so had never met that life. Where announcements don't tell when their life began, the order of the two is unknown. The keeper took it for a new life: all runs counted as lost at once, the true life stood among the past ones, and never got work again.

Change: an announcement of another id is kept, and a look is sent at once to the life that is called, with no wait, beside the look under way. Until a look that was sent since is settled nothing starts there and the lease isn't extended. Answered: the announcement was late, and is passed over. Another life answers (421): the known one is over, and the announced one is called. No answer: so it goes on until no lease can be left; then its runs count as lost, and the announced one is called. Announcements that tell a later start are asked about too: the clock of an earlier life may have been ahead, and it costs a millisecond. An announced life gets no work before it has answered itself. A life that was only silent isn't held for over any more: announced again, it is called again. Only an answer puts a life among the past ones.

Tests: life_words_unit_test, section 2.

--- a/include/cassiaferry/lease_keeper.h
+++ b/include/cassiaferry/lease_keeper.h
@@ -15,6 +15,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -239,10 +240,16 @@
   leased_worker_info worker;
   uint64_t sequence = 0;  // newest announcement of this life
   bool draining = false;
-  bool stopping = false;  // this process stops: nothing new starts
-  bool closed = false;    // so does nothing in its failure domain
-  std::set<worker_life> past_lives;
+  bool stopping = false;             // this process stops: nothing new starts
+  bool closed = false;               // so does nothing in its failure domain
+  std::set<worker_life> past_lives;  // proven over
   uint64_t lives_met = 0;
+  // Another life was announced. It is called once the one called now is over,
+  // by the answer to a look sent since, or once it is silent with no lease
+  // left.
+  std::optional<leased_worker_announced> successor;
+  uint64_t asked_after = 0;    // looks sent before it was announced
+  bool asked_in_vain = false;  // a later one got no answer
   bool opened = false;  // nothing runs there that this process doesn't know
   micros life_since{0};
   uint64_t fence = 1;
--- a/src/core/keeper_lives.cc
+++ b/src/core/keeper_lives.cc
@@ -1,5 +1,6 @@
 // Lives of the worker beside a sidecar: begun by its announcements, or by an
-// answer that names another start; ended by its goodbye, or by another life.
+// answer that names another start; ended by its goodbye, or by another life's
+// answer at its address. Another one's announcement may be late: it ends none.
 //
 // Contents
 //   [1] Ends
@@ -33,11 +34,14 @@
 
 namespace {
 
-// What this life listed, numbered and ran is no more.
-void EndLife(keeper_state& k) {
+void NoteOver(keeper_state& k, const worker_life& life) {
   if (k.past_lives.size() >= kMaxPastLives)
     k.past_lives.clear();
-  k.past_lives.insert(k.worker.life);
+  k.past_lives.insert(life);
+}
+
+// What this life listed, numbered and ran is no more.
+void EndLife(keeper_state& k) {
   k.has_worker = false;
   k.announced = false;
   k.looks_open = 0;
@@ -51,20 +55,8 @@
   }
 }
 
-}  // namespace
-
-void LoseWorker(keeper_state& k, micros now, const std::string& why) {
-  Note(k, "worker lost",
-       ToText(k.worker.life) + ", runs " + std::to_string(k.runs.size()) +
-           ", " + why);
-  EndAll(k, now, run_end_kind::lost);
-  EndLife(k);
-}
-
 // ---- [2] Begins -------------------------------------------------------------
 
-namespace {
-
 // Failure guarded against: orders to the life before reach this one, if it has
 // the same id, or what an earlier sidecar started still runs. Nothing starts
 // until the worker has seen a fence above all of them, and has listed nothing
@@ -82,6 +74,7 @@
   k.seen = 0;
   k.life_since = now;
   k.last_answer = now;
+  k.asked_in_vain = false;
   k.fence = std::max(k.fence + 1, k.options.first_fence);
   k.pace = 1;
   k.pace_told = 1;
@@ -105,6 +98,7 @@
   Note(k, "worker started again",
        ToText(life) + ", before " + std::to_string(k.worker.life.started_ms) +
            ", runs " + std::to_string(k.runs.size()));
+  NoteOver(k, k.worker.life);
   EndLife(k);
   BeginLife(k, now, life);
   // What was granted by the clock of the life before may be as long as the
@@ -143,16 +137,12 @@
            (e.draining ? ", draining; " : "; ") + why);
 }
 
+// Of the id called, or of any if none is.
 void MeetLife(keeper_state& k, micros now, const worker_life& life) {
-  if (k.has_worker && k.worker.life == life)
-    return;
-  if (k.has_worker && k.worker.life.id == life.id) {
+  if (!k.has_worker)
+    BeginLife(k, now, life);
+  else if (k.worker.life != life)
     BeginAgain(k, now, life);
-    return;
-  }
-  if (k.has_worker)
-    LoseWorker(k, now, "announced: " + ToText(life));
-  BeginLife(k, now, life);
 }
 
 void TakeInfo(keeper_state& k, const leased_worker_announced& e) {
@@ -176,8 +166,59 @@
   }
 }
 
+// Failure guarded against: an announcement of an earlier life, held up in the
+// network, reaches a process that hasn't met that life since its own start. The
+// order of the two is unknown, or told by clocks that may have gone back. Taken
+// for a new life, it would end runs that go on, and the true life would be
+// called no more.
+void AskAbout(keeper_state& k, micros now, leased_worker_announced e) {
+  const bool asks = !k.successor;
+  if (asks || k.successor->info.life != e.info.life)
+    Note(k, "announcement of another life, the worker is asked",
+         ToText(k.worker.life) + ", announced " + ToText(e.info.life) +
+             ", runs " + std::to_string(k.runs.size()));
+  k.successor = std::move(e);
+  if (!asks)
+    return;
+  k.asked_after = k.looks_sent;
+  k.asked_in_vain = false;
+  CallLook(k, now);
+}
+
+void AdoptSuccessor(keeper_state& k, micros now) {
+  if (!k.successor)
+    return;
+  const leased_worker_announced e = std::move(*k.successor);
+  k.successor.reset();
+  BeginLife(k, now, e.info.life);
+  TakeInfo(k, e);
+}
+
 }  // namespace
 
+void PassOverSuccessor(keeper_state& k) {
+  if (!k.successor)
+    return;
+  NotePassedOver(k, *k.successor,
+                 "the worker answers as " + ToText(k.worker.life));
+  k.successor.reset();
+}
+
+// A life that was only silent may be announced again, and is then called again.
+void LoseWorker(keeper_state& k,
+                micros now,
+                life_proof proof,
+                const std::string& why) {
+  Note(k, "worker lost",
+       ToText(k.worker.life) + ", runs " + std::to_string(k.runs.size()) +
+           ", " + why);
+  EndAll(k, now, run_end_kind::lost);
+  if (proof == life_proof::answer)
+    NoteOver(k, k.worker.life);
+  EndLife(k);
+  AdoptSuccessor(k, now);
+}
+
 void Announce(keeper_state& k, micros now, leased_worker_announced e) {
   worker_life& life = e.info.life;
   if (k.has_worker && life.started_ms == 0 && life.id == k.worker.life.id)
@@ -186,6 +227,10 @@
     NotePassedOver(k, e, "that life is over");
     return;
   }
+  if (k.has_worker && k.worker.life.id != life.id) {
+    AskAbout(k, now, std::move(e));
+    return;
+  }
   MeetLife(k, now, life);
   if (k.announced && e.sequence < k.sequence) {
     NotePassedOver(k, e, "newest known " + std::to_string(k.sequence));
--- a/src/core/keeper_systems.h
+++ b/src/core/keeper_systems.h
@@ -26,6 +26,9 @@
 }
 // Calls the worker, once more if it was called before; extends its lease.
 void CallStart(keeper_state& k, micros now, kept_run& run);
+// Asks what runs, beside a look that is under way: that one's answer is passed
+// over.
+void CallLook(keeper_state& k, micros now);
 // What waits for room starts, or is refused when it has waited for too long.
 void StartWaiting(keeper_state& k, micros now);
 // Asks the worker to stop a run that it may have been told to start.
@@ -37,8 +40,23 @@
 
 // Nothing runs on the worker that this process doesn't know.
 void Open(keeper_state& k);
-// The worker is gone, and with it all that ran there. `why`: for the log.
-void LoseWorker(keeper_state& k, micros now, const std::string& why);
+// What shows that nothing runs on a life any more.
+enum class life_proof : uint8_t {
+  answer,  // the life is over: another one answers in its place
+  lease,   // it is silent, and no lease that it was granted can be left
+};
+// Nothing of what ran there does any more. `why`: for the log.
+void LoseWorker(keeper_state& k,
+                micros now,
+                life_proof proof,
+                const std::string& why);
+// Some word says that the life called is over, and the worker has not been
+// asked yet: nothing new starts there.
+inline bool MayBeOver(const keeper_state& k) {
+  return k.successor.has_value();
+}
+// The life called has answered since the other one was announced.
+void PassOverSuccessor(keeper_state& k);
 // The worker has started again under its id, as this life.
 void BeginAgain(keeper_state& k, micros now, const worker_life& life);
 void Announce(keeper_state& k, micros now, leased_worker_announced e);
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -179,6 +179,8 @@
   return k.look_failed ? 0 : AckedEnds(k);
 }
 
+}  // namespace
+
 void CallLook(keeper_state& k, micros now) {
   k.looks_open = ++k.looks_sent;
   k.look_called = now;
@@ -193,13 +195,16 @@
   // as long as it is asked.
   const bool answers = now - k.last_answer <= k.options.suspect_after;
   const bool extends = k.opened && k.has_clock && !k.runs.empty() && answers &&
-                       k.lapsing_until.value == 0;
+                       k.lapsing_until.value == 0 && !MayBeOver(k);
   look.lease_until_ms = extends ? GrantLease(k, now) : 0;
-  look.wait_ms = k.opened ? ToMillis(LookWait(k, now)) : 0;
+  const bool waits = k.opened && !k.successor;
+  look.wait_ms = waits ? ToMillis(LookWait(k, now)) : 0;
   look.timeout_ms = look.wait_ms + ToMillis(CallTimeout(k, now));
   k.actions.emplace_back(std::move(look));
 }
 
+namespace {
+
 // ---- [3] Answers ------------------------------------------------------------
 
 void RaiseFence(keeper_state& k) {
@@ -227,7 +232,7 @@
 
 void RetryStart(keeper_state& k, micros now, kept_run& run) {
   if (run.tries < k.options.start_tries && k.lapsing_until.value == 0 &&
-      Vouched(k, now, run.owner))
+      !MayBeOver(k) && Vouched(k, now, run.owner))
     CallStart(k, now, run);
   else
     StopRun(k, now, run);
@@ -352,7 +357,8 @@
 
 void TakeLook(keeper_state& k, micros now, const look_answered& e) {
   if (e.answer == worker_answer::other_life) {
-    LoseWorker(k, now, "another life answers at its address");
+    LoseWorker(k, now, life_proof::answer,
+               "another life answers at its address");
     return;
   }
   // Failure guarded against: a look that was given up is answered after a later
@@ -368,13 +374,18 @@
   if (e.answer == worker_answer::none)
     NoteLoss(k, now);
   k.look_failed = e.answer != worker_answer::ok;
-  if (k.look_failed)
+  const bool asked = k.successor && e.number > k.asked_after;
+  if (k.look_failed) {
+    k.asked_in_vain = k.asked_in_vain || asked;
     return;
+  }
   if (e.started_ms != 0 && e.started_ms != k.worker.life.started_ms) {
     BeginAgain(k, now, {k.worker.life.id, e.started_ms});
     return;
   }
   const bool was_suspect = !TakesLeasedWork(k, now);
+  if (asked)
+    PassOverSuccessor(k);
   k.last_answer = now;
   k.has_clock = true;
   k.clock_ms = e.clock_ms;
@@ -404,7 +415,7 @@
   void operator()(const leased_worker_left& e) {
     const bool untold = e.life.started_ms == 0 && e.life.id == k.worker.life.id;
     if (IsCurrent(e.life) || (k.has_worker && untold))
-      LoseWorker(k, now, "it said goodbye");
+      LoseWorker(k, now, life_proof::answer, "it said goodbye");
   }
   void operator()(const run_start_answered& e) {
     if (IsCurrent(e.life))
@@ -426,12 +437,15 @@
 // It shows as no answer at all. Once no lease granted to it can be left, what
 // ran there has ended, whatever became of the worker.
 void CheckLease(keeper_state& k, micros now) {
-  if (!k.runs.empty() && now > k.lease_over + k.options.bounds.margin &&
-      now - k.last_answer > k.options.suspect_after) {
+  const bool over = now > k.lease_over + k.options.bounds.margin &&
+                    now - k.last_answer > k.options.suspect_after;
+  if (!k.runs.empty() && over) {
     EndAll(k, now, run_end_kind::lost);
     // Should it start again, it does nothing that was ordered until now.
     ++k.fence;
   }
+  if (k.has_worker && k.successor && k.asked_in_vain && over)
+    LoseWorker(k, now, life_proof::lease, "silent, and no lease is left");
   const micros leases_of_others =
       LapsedAfter(k.options.bounds) + k.options.bounds.lease;
   if (k.has_worker && !k.opened && now - k.life_since > leases_of_others)
@@ -578,7 +592,7 @@
 
 bool TakesLeasedWork(const keeper_state& k, micros now) {
   return k.announced && k.opened && k.has_clock && !k.draining && !k.stopping &&
-         !k.closed && k.lapsing_until.value == 0 &&
+         !k.closed && k.lapsing_until.value == 0 && !MayBeOver(k) &&
          now - k.last_answer <= k.options.suspect_after;
 }
 
--- a/tests/closings_unit_test.cc
+++ b/tests/closings_unit_test.cc
@@ -159,7 +159,13 @@
 TEST_CASE_METHOD(closed_keeper, "worker_starts_again_while_closed_no_work") {
   SetClosed(k, true);
   TakeKeeperEvent(k, now, Announcement("other"));
+  look_answered over;
+  over.number = k.looks_open;
+  over.life = {"life"};
+  over.answer = worker_answer::other_life;
+  TakeKeeperEvent(k, now, over);
   TickKeeper(k, now);
+  REQUIRE(k.worker.life.id == "other");
   look_answered look;
   look.number = k.looks_open;
   look.life = {"other"};
--- /dev/null
+++ b/tests/life_words_unit_test.cc
@@ -0,0 +1,236 @@
+// Words about a worker's life that may be late: an announcement of another life.
+//
+// Contents
+//   [1] Fixture
+//   [2] Announcements of another life
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "emulated_fixtures.h"
+
+namespace cassiaferry::emulator {
+namespace {
+
+// ---- [1] Fixture ------------------------------------------------------------
+
+// The worker runs one task, begun a second ago, of which half is done.
+struct keeper_of_a_run : keeper_of_one_owner {
+  keeper_of_a_run() {
+    Start(the_run, 2000);
+    Pass(Millis(1000), {the_run});
+    k.actions.clear();
+  }
+
+  static run_ref Ref(const std::string& job) { return {{job, 0, 0, 0}, 1}; }
+
+  void Order(const run_ref& ref, uint32_t expected_ms) {
+    lease_orders orders;
+    orders.echo = now.value;
+    orders.starts.push_back({ref, {1000, 10, 0}, expected_ms, ""});
+    TakeOrders(k, now, kOwner, orders);
+  }
+
+  void Start(const run_ref& ref, uint32_t expected_ms) {
+    Order(ref, expected_ms);
+    TakeKeeperEvent(k, now,
+                    run_start_answered{ref, {"life"}, worker_answer::ok});
+  }
+
+  void Tick(micros time) {
+    now = now + time;
+    lease_orders orders;  // the owner vouches on
+    orders.echo = now.value;
+    TakeOrders(k, now, kOwner, orders);
+    TickKeeper(k, now);
+  }
+
+  // All looks are answered.
+  void Pass(micros time, const std::vector<run_ref>& running) {
+    for (const micros until = now + time; now < until;) {
+      Tick(Millis(50));
+      Look(running);
+    }
+  }
+
+  // Looks get no answer.
+  void PassSilent(micros time) {
+    for (const micros until = now + time; now < until;) {
+      Answer(k.worker.life, worker_answer::none);
+      Tick(std::min(Millis(20), until - now));
+    }
+  }
+
+  void Answer(const worker_life& called, worker_answer answer) {
+    TakeKeeperEvent(k, now, LookOf(called, answer));
+    TickKeeper(k, now);
+  }
+
+  look_answered LookOf(const worker_life& called, worker_answer answer) const {
+    look_answered e;
+    e.number = k.looks_open;
+    e.life = called;
+    e.answer = answer;
+    e.clock_ms = ToMillis(now);
+    return e;
+  }
+
+  void Announce(const std::string& life, uint64_t number = 1) {
+    leased_worker_announced e = Announcement(life);
+    e.sequence = number;
+    TakeKeeperEvent(k, now, e);
+    TickKeeper(k, now);
+  }
+
+  void ListEnd(run_end_kind how) {
+    look_answered e = LookOf({"life"}, worker_answer::ok);
+    e.ended.push_back({1, the_run, how});
+    TakeKeeperEvent(k, now, e);
+    TickKeeper(k, now);
+  }
+
+  // What the owner is told since it was asked last.
+  std::vector<run_end_kind> Told() {
+    std::vector<run_end_kind> told;
+    for (const run_end& end : ReportFor(k, now, kOwner).ends)
+      told.push_back(end.how);
+    return told;
+  }
+
+  bool Notes(const std::string& what) const {
+    for (const keeper_note& note : Calls<keeper_note>()) {
+      if (what == note.what)
+        return true;
+    }
+    return false;
+  }
+
+  const run_ref the_run = Ref("job");
+};
+
+using ends = std::vector<run_end_kind>;
+
+// ---- [2] Announcements of another life --------------------------------------
+
+// Guards against a late announcement of an earlier life, at a process that has
+// never met it: runs that go on count as lost, and start elsewhere.
+TEST_CASE_METHOD(keeper_of_a_run,
+                 "announcement_of_another_life_late_runs_go_on") {
+  Announce("earlier", 40);
+  CHECK(Told().empty());
+  const std::vector<call_look> looks = Calls<call_look>();
+  REQUIRE(looks.size() == 1);
+  CHECK(looks[0].life.id == "life");
+  CHECK(looks[0].wait_ms == 0);
+  CHECK(Notes("announcement of another life, the worker is asked"));
+  Look({the_run});
+  CHECK(TakesLeasedWork(k, now));
+  CHECK(k.worker.life.id == "life");
+  CHECK(Notes("announcement passed over"));
+  ListEnd(run_end_kind::done);
+  CHECK(Told() == ends{run_end_kind::done});
+}
+
+// Guards against starts on a worker that may be gone, or sent to one that is.
+TEST_CASE_METHOD(keeper_of_a_run,
+                 "announcement_of_another_life_nothing_starts_till_answered") {
+  Announce("other");
+  CHECK_FALSE(TakesLeasedWork(k, now));
+  Order(Ref("new"), 100);
+  CHECK(Calls<call_run_start>().empty());
+  CHECK(Told() == ends{run_end_kind::never_started});
+  Look({the_run});
+  Order(Ref("newer"), 100);
+  CHECK(Calls<call_run_start>().size() == 1);
+}
+
+// Guards against a copy of a start that goes out while the worker is asked.
+TEST_CASE_METHOD(keeper_of_a_run,
+                 "announcement_of_another_life_no_start_is_sent_again") {
+  Order(Ref("new"), 100);
+  k.actions.clear();
+  Announce("other");
+  TakeKeeperEvent(
+      k, now, run_start_answered{Ref("new"), {"life"}, worker_answer::none});
+  CHECK(Calls<call_run_start>().empty());
+  CHECK(Calls<call_run_stop>().size() == 1);
+}
+
+// Guards against a new life that is never called.
+TEST_CASE_METHOD(keeper_of_a_run,
+                 "announcement_of_another_life_known_one_over_it_is_called") {
+  Announce("other");
+  CHECK(Told().empty());
+  Answer({"life"}, worker_answer::other_life);
+  CHECK(Told() == ends{run_end_kind::lost});
+  CHECK(k.worker.life.id == "other");
+  CHECK(Calls<call_look>().back().life.id == "other");
+  CHECK_FALSE(TakesLeasedWork(k, now));
+  look_answered first = LookOf({"other"}, worker_answer::ok);
+  TakeKeeperEvent(k, now, first);
+  CHECK(TakesLeasedWork(k, now));
+  Announce("life", 99);
+  CHECK(k.worker.life.id == "other");
+  CHECK(TakesLeasedWork(k, now));
+}
+
+// Guards against an answer of before the announcement that passes for one to
+// the question: the worker may have crashed between the two.
+TEST_CASE_METHOD(keeper_of_a_run,
+                 "announcement_of_another_life_earlier_look_settles_nothing") {
+  look_answered before = LookOf({"life"}, worker_answer::ok);
+  before.running.push_back({the_run, 50});
+  Announce("other");
+  TakeKeeperEvent(k, now, before);
+  TickKeeper(k, now);
+  CHECK_FALSE(TakesLeasedWork(k, now));
+  CHECK_FALSE(Notes("announcement passed over"));
+}
+
+// Guards against a system that waits for ever for the answer of a life that is
+// gone, and against runs that count as over while a lease may be left.
+TEST_CASE_METHOD(keeper_of_a_run,
+                 "announcement_of_another_life_silence_lasts_for_the_lease") {
+  const micros over = k.lease_over + k.options.bounds.margin;
+  Announce("other");
+  k.actions.clear();
+  PassSilent(over - now);
+  CHECK(Told().empty());
+  CHECK(k.worker.life.id == "life");
+  for (const call_look& look : Calls<call_look>())
+    CHECK(look.lease_until_ms == 0);
+  PassSilent(Millis(40));
+  CHECK(Told() == ends{run_end_kind::lost});
+  CHECK(k.worker.life.id == "other");
+}
+
+// Guards against a true life that never gets work again: it was silent while a
+// late word made another one be called.
+TEST_CASE_METHOD(keeper_of_a_run,
+                 "announcement_of_another_life_silent_one_may_come_back") {
+  Announce("earlier", 40);
+  PassSilent(Millis(1500));
+  REQUIRE(k.worker.life.id == "earlier");
+  Answer({"earlier"}, worker_answer::other_life);
+  Announce("life", 5);
+  Look({});
+  CHECK(TakesLeasedWork(k, now));
+  CHECK(k.worker.life.id == "life");
+}
+
+// Guards against the same where announcements tell when their life began: the
+// clock of an earlier life may have been ahead.
+TEST_CASE_METHOD(keeper_of_a_run,
+                 "announcement_of_a_later_start_the_worker_is_asked_too") {
+  leased_worker_announced e = Announcement("other");
+  e.info.life.started_ms = 5'000'000;
+  TakeKeeperEvent(k, now, e);
+  CHECK(Told().empty());
+  Look({the_run});
+  CHECK(Told().empty());
+  CHECK(k.worker.life.id == "life");
+  CHECK(TakesLeasedWork(k, now));
+}
+
+}  // namespace
+}  // namespace cassiaferry::emulator
