A goodbye ends no run: it is over when the worker shows it, or with its lease

What callers could see: tasks that run twice at a time. A worker that has said goodbye still has to end, and without a confirmation it goes on for seconds; its runs counted as lost at the goodbye and started elsewhere within milliseconds.

Change: after a goodbye nothing starts there and the lease isn't extended. The worker is still looked at; its runs are over by their listed end, by an answered stop and a look that doesn't list them, by another life's answer, or when no lease can be left. A life that has said goodbye and is silent with no lease left is looked at no more; its later announcements are passed over.

Stop, or run to the end? Two conditions together let a run go on: what is left fits in the lease that it has, and it has more work behind it than waiting for that lease takes. So a task of seconds isn't thrown away for some 100 ms, and a short one doesn't wait for a lease where starting it again takes a part of that.

--- a/include/cassiaferry/lease_keeper.h
+++ b/include/cassiaferry/lease_keeper.h
@@ -250,6 +250,7 @@
   std::optional<leased_worker_announced> successor;
   uint64_t asked_after = 0;    // looks sent before it was announced
   bool asked_in_vain = false;  // a later one got no answer
+  bool left = false;           // the life called has said goodbye
   bool opened = false;  // nothing runs there that this process doesn't know
   micros life_since{0};
   uint64_t fence = 1;
--- a/src/core/keeper_lives.cc
+++ b/src/core/keeper_lives.cc
@@ -1,11 +1,13 @@
 // Lives of the worker beside a sidecar: begun by its announcements, or by an
-// answer that names another start; ended by its goodbye, or by another life's
-// answer at its address. Another one's announcement may be late: it ends none.
+// answer that names another start; ended by another life's answer at its
+// address. Words about a life (another one's announcement, a goodbye) may be
+// late: they end none.
 //
 // Contents
 //   [1] Ends
 //   [2] Begins
 //   [3] Announcements
+//   [4] Goodbyes
 
 #include "cassiaferry/lease_keeper.h"
 
@@ -75,6 +77,7 @@
   k.life_since = now;
   k.last_answer = now;
   k.asked_in_vain = false;
+  k.left = false;
   k.fence = std::max(k.fence + 1, k.options.first_fence);
   k.pace = 1;
   k.pace_told = 1;
@@ -213,7 +216,7 @@
        ToText(k.worker.life) + ", runs " + std::to_string(k.runs.size()) +
            ", " + why);
   EndAll(k, now, run_end_kind::lost);
-  if (proof == life_proof::answer)
+  if (proof == life_proof::answer || k.left)
     NoteOver(k, k.worker.life);
   EndLife(k);
   AdoptSuccessor(k, now);
@@ -232,6 +235,10 @@
     return;
   }
   MeetLife(k, now, life);
+  if (k.left) {
+    NotePassedOver(k, e, "that life has said goodbye");
+    return;
+  }
   if (k.announced && e.sequence < k.sequence) {
     NotePassedOver(k, e, "newest known " + std::to_string(k.sequence));
     return;
@@ -239,4 +246,44 @@
   TakeInfo(k, e);
 }
 
+// ---- [4] Goodbyes -----------------------------------------------------------
+
+namespace {
+
+// It can end within the lease that is left, and has more work behind it than
+// waiting for that lease takes, should the worker end first: nobody learns
+// before then that it is over.
+bool IsWorthFinishing(const keeper_state& k, micros now, const kept_run& run) {
+  if (run.state != run_state::running || run.percent == 0)
+    return false;
+  const micros margin = k.options.bounds.margin;
+  const micros age = now - run.since;
+  const micros left{age.value * (100 - run.percent) / run.percent};
+  return now + left + margin <= k.lease_over &&
+         now + age >= k.lease_over + margin;
+}
+
+}  // namespace
+
+// Failure guarded against: a worker that has said goodbye still has to end, and
+// goes on for seconds if its goodbye isn't confirmed. Runs that count as lost
+// by then start elsewhere beside those here. No lease is extended after it, so
+// what can't end within the one it has is stopped: while the worker answers,
+// that shows sooner that the run is over.
+void TakeGoodbye(keeper_state& k, micros now, const worker_life& life) {
+  const bool untold = life.started_ms == 0 && life.id == k.worker.life.id;
+  if (!k.has_worker || k.left || !(untold || life == k.worker.life))
+    return;
+  Note(k, "worker said goodbye",
+       ToText(k.worker.life) + ", runs " + std::to_string(k.runs.size()));
+  k.left = true;
+  for (auto& [task, run] : k.runs) {
+    if (!IsWorthFinishing(k, now, run))
+      StopRun(k, now, run);
+  }
+  StartWaiting(k, now);
+  for (auto& [name, owner] : k.owners)
+    owner.due = true;
+}
+
 }  // namespace cassiaferry
--- a/src/core/keeper_systems.h
+++ b/src/core/keeper_systems.h
@@ -50,16 +50,17 @@
                 micros now,
                 life_proof proof,
                 const std::string& why);
-// Some word says that the life called is over, and the worker has not been
-// asked yet: nothing new starts there.
+// Some word says that the life called is over, and its answers don't show it
+// yet: nothing new starts there.
 inline bool MayBeOver(const keeper_state& k) {
-  return k.successor.has_value();
+  return k.successor.has_value() || k.left;
 }
 // The life called has answered since the other one was announced.
 void PassOverSuccessor(keeper_state& k);
 // The worker has started again under its id, as this life.
 void BeginAgain(keeper_state& k, micros now, const worker_life& life);
 void Announce(keeper_state& k, micros now, leased_worker_announced e);
+void TakeGoodbye(keeper_state& k, micros now, const worker_life& life);
 
 // ---- [3] Ends (keeper_ends.cc) ----------------------------------------------
 
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -412,11 +412,7 @@
     return k.has_worker && k.worker.life == life;
   }
   void operator()(const leased_worker_announced& e) { Announce(k, now, e); }
-  void operator()(const leased_worker_left& e) {
-    const bool untold = e.life.started_ms == 0 && e.life.id == k.worker.life.id;
-    if (IsCurrent(e.life) || (k.has_worker && untold))
-      LoseWorker(k, now, life_proof::answer, "it said goodbye");
-  }
+  void operator()(const leased_worker_left& e) { TakeGoodbye(k, now, e.life); }
   void operator()(const run_start_answered& e) {
     if (IsCurrent(e.life))
       TakeStartAnswer(k, now, e);
@@ -444,7 +440,7 @@
     // Should it start again, it does nothing that was ordered until now.
     ++k.fence;
   }
-  if (k.has_worker && k.successor && k.asked_in_vain && over)
+  if (k.has_worker && over && (k.left || (k.successor && k.asked_in_vain)))
     LoseWorker(k, now, life_proof::lease, "silent, and no lease is left");
   const micros leases_of_others =
       LapsedAfter(k.options.bounds) + k.options.bounds.lease;
--- a/tests/life_words_unit_test.cc
+++ b/tests/life_words_unit_test.cc
@@ -1,13 +1,17 @@
-// Words about a worker's life that may be late: an announcement of another life.
+// Words about a worker's life that may be late or early: an announcement of
+// another life, a goodbye.
 //
 // Contents
 //   [1] Fixture
 //   [2] Announcements of another life
+//   [3] Goodbyes
+//   [4] Seeded runs
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "emulated_fixtures.h"
+#include "emulator/seeded_day.h"
 
 namespace cassiaferry::emulator {
 namespace {
@@ -82,6 +86,16 @@
     TickKeeper(k, now);
   }
 
+  void Goodbye() {
+    TakeKeeperEvent(k, now, leased_worker_left{{"life"}});
+    TickKeeper(k, now);
+  }
+
+  void AnswerStop() {
+    TakeKeeperEvent(k, now,
+                    run_stop_answered{the_run, {"life"}, worker_answer::ok});
+  }
+
   void ListEnd(run_end_kind how) {
     look_answered e = LookOf({"life"}, worker_answer::ok);
     e.ended.push_back({1, the_run, how});
@@ -232,5 +246,108 @@
   CHECK(TakesLeasedWork(k, now));
 }
 
+// ---- [3] Goodbyes -----------------------------------------------------------
+
+// Guards against runs that start elsewhere while they go on at a worker that
+// has said goodbye and not ended yet.
+TEST_CASE_METHOD(keeper_of_a_run, "goodbye_runs_are_told_by_proof") {
+  Goodbye();
+  CHECK(Told().empty());
+  CHECK_FALSE(TakesLeasedWork(k, now));
+  REQUIRE(Calls<call_run_stop>().size() == 1);
+  Pass(Millis(100), {the_run});
+  CHECK(Told().empty());
+  AnswerStop();
+  Look({the_run});
+  Look({the_run});
+  CHECK(Told().empty());
+  Look({});
+  CHECK(Told() == ends{run_end_kind::stopped});
+}
+
+// Guards against a lease that covers runs on a worker that ends.
+TEST_CASE_METHOD(keeper_of_a_run, "goodbye_lease_is_extended_no_more") {
+  Goodbye();
+  k.actions.clear();
+  Pass(Millis(300), {the_run});
+  REQUIRE(Calls<call_look>().size() >= 3);
+  for (const call_look& look : Calls<call_look>())
+    CHECK(look.lease_until_ms == 0);
+}
+
+// Guards against runs that count as over while a lease may be left, and against
+// a job that hangs with a worker that has ended.
+TEST_CASE_METHOD(keeper_of_a_run, "goodbye_silent_worker_lasts_for_the_lease") {
+  const micros over = k.lease_over + k.options.bounds.margin;
+  Goodbye();
+  PassSilent(over - now);
+  CHECK(Told().empty());
+  PassSilent(Millis(40));
+  CHECK(Told() == ends{run_end_kind::lost});
+}
+
+// Guards against seconds of work thrown away for want of milliseconds.
+TEST_CASE_METHOD(keeper_of_a_run,
+                 "goodbye_long_run_nearly_done_ends_by_itself") {
+  k.runs[the_run.task].percent = 80;  // 250 ms are left
+  Goodbye();
+  CHECK(Calls<call_run_stop>().empty());
+  ListEnd(run_end_kind::done);
+  CHECK(Told() == ends{run_end_kind::done});
+}
+
+// Guards against a short task that waits for a lease, should the worker end
+// now, where starting it again takes a part of that.
+TEST_CASE_METHOD(keeper_of_a_run, "goodbye_short_run_is_stopped") {
+  Start(Ref("short"), 100);
+  Tick(Millis(80));
+  k.runs[Ref("short").task].percent = 80;
+  k.actions.clear();
+  Goodbye();
+  bool stopped = false;
+  for (const call_run_stop& stop : Calls<call_run_stop>())
+    stopped = stopped || stop.ref == Ref("short");
+  CHECK(stopped);
+}
+
+// Guards against work for a life that leaves, on the word of a late
+// announcement.
+TEST_CASE_METHOD(keeper_of_a_run, "goodbye_later_announcement_brings_no_work") {
+  Goodbye();
+  Announce("life", 50);
+  Look({the_run});
+  CHECK_FALSE(TakesLeasedWork(k, now));
+  CHECK(Notes("announcement passed over"));
+}
+
+// Guards against a new life that is never called, and runs told too late.
+TEST_CASE_METHOD(keeper_of_a_run, "goodbye_next_life_answers_runs_are_lost") {
+  Goodbye();
+  Announce("other");
+  CHECK(Told().empty());
+  Answer({"life"}, worker_answer::other_life);
+  CHECK(Told() == ends{run_end_kind::lost});
+  look_answered first = LookOf({"other"}, worker_answer::ok);
+  TakeKeeperEvent(k, now, first);
+  CHECK(TakesLeasedWork(k, now));
+}
+
+// ---- [4] Seeded runs --------------------------------------------------------
+
+TEST_CASE("late_words_seeded_faults_nothing_broken") {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    day_options options;
+    options.seed = seed;
+    options.late_words = true;
+    const day_report day = PlaySeededDay(options);
+    INFO("seed " << seed << "; cassiaferry-emulate --late_words --replay "
+                 << seed);
+    for (const violation& v : day.violations)
+      UNSCOPED_INFO("at " << ToMillis(v.at) << " ms: " << v.what);
+    REQUIRE(day.violations.empty());
+    REQUIRE(day.completed > day.jobs / 4);
+  }
+}
+
 }  // namespace
 }  // namespace cassiaferry::emulator
