Emulated world: a line of a sidecar's log draws no luck

Each note of a sidecar drew from the world's random numbers, as an order to its worker does. Notes are logged, and nothing else. leased_unit_test: all 44 cases pass; no check changes.

--- a/src/emulator/worker_world.cc
+++ b/src/emulator/worker_world.cc
@@ -37,9 +37,11 @@
 // caller's time-out. What a worker has not answered when it goes down, it never
 // does.
 void world::CallWorker(int sidecar, const keeper_action& call) {
-  if (const auto* note = std::get_if<keeper_note>(&call))
+  if (const auto* note = std::get_if<keeper_note>(&call)) {
     Log("sidecar-" + std::to_string(sidecar),
         std::string(note->what) + ", " + note->detail);
+    return;
+  }
   const uint64_t life = sidecars[static_cast<size_t>(sidecar)].lives;
   const bool late = Chance() < workers[static_cast<size_t>(sidecar)].late_share;
   const micros extra =
