--- /dev/null
+++ b/tests/stops_unanswered_unit_test.cc
@@ -0,0 +1,57 @@
+// A sidecar whose orders to stop its worker doesn't carry out.
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "emulated_fixtures.h"
+
+namespace cassiaferry::emulator {
+namespace {
+
+// A run whose owner has said its last word, on a worker that answers looks.
+struct keeper_of_a_silent_owner : keeper_of_one_owner {
+  keeper_of_a_silent_owner() {
+    lease_orders orders;
+    orders.echo = now.value;
+    orders.starts.push_back({the_run, {1000, 10, 0}, 100, ""});
+    TakeOrders(k, now, kOwner, orders);
+    TakeKeeperEvent(k, now,
+                    run_start_answered{the_run, {"life"}, worker_answer::ok});
+  }
+
+  // Each order to stop gets this answer; the run is listed until one is taken.
+  void Pass(micros time, worker_answer to_stops) {
+    constexpr micros kStep = Millis(20);
+    for (const micros until = now + time; now < until;) {
+      k.actions.clear();
+      now = now + kStep;
+      Look(stopped ? std::vector<run_ref>{} : std::vector<run_ref>{the_run});
+      for (size_t i = Calls<call_run_stop>().size(); i > 0; --i)
+        TakeKeeperEvent(k, now, run_stop_answered{the_run, {"life"}, to_stops});
+      stopped = stopped || (to_stops == worker_answer::ok &&
+                            !Calls<call_run_stop>().empty());
+    }
+  }
+
+  const run_ref the_run{{"job", 0, 0, 0}, 1};
+  const int64_t over_ms = ToMillis(now + OverAfter(k.options.bounds));
+  bool stopped = false;
+};
+
+// Guards against a run that nobody vouches for and whose stop isn't carried
+// out: each look gives its worker a longer lease.
+TEST_CASE_METHOD(keeper_of_a_silent_owner,
+                 "stop_not_carried_out_lease_ends_in_time") {
+  const auto answer = GENERATE(worker_answer::none, worker_answer::unavailable);
+  Pass(Millis(3000), answer);
+  CHECK(ToMillis(k.lease_over) <= over_ms);
+}
+
+TEST_CASE_METHOD(keeper_of_a_silent_owner, "stop_taken_lease_ends_in_time") {
+  Pass(Millis(3000), worker_answer::ok);
+  CHECK(stopped);
+  CHECK(ToMillis(k.lease_over) <= over_ms);
+}
+
+}  // namespace
+}  // namespace cassiaferry::emulator
