A run that must be over gets no longer lease, whatever becomes of its stop

What callers could see: tasks that run twice at a time. An owner has gone, its runs are to be stopped, and the worker answers looks but leaves the orders to stop unanswered, or refuses them: each look extended its lease, and the run went on while the task ran elsewhere.

Cause: the bound (vouch, then lease) holds only if no lease is granted after the vouch has run out; the keeper extended as long as any run was there, as it took for granted that a stop is carried out.

Change: no lease is extended while a run is there that nobody vouches for, or one whose stop has been open for longer than the margin of the bounds, or one that nobody here ordered. Once the worker has answered the stops it goes on; a lease has 0.7 s left then, so nothing else lapses by a stop that is sent twice.

Evidence: stop_not_carried_out_lease_ends_in_time: the lease reached 4714 ms where the owner counts the run as over at 2164; now it keeps to that. The control stop_taken_lease_ends_in_time was green, and is. leased, life_words, starts_wait unit tests pass.

--- a/include/cassiaferry/lease_keeper.h
+++ b/include/cassiaferry/lease_keeper.h
@@ -184,6 +184,7 @@
   run_state state = run_state::starting;
   bool confirmed = false;  // the worker has said that it is there
   bool stop_done = false;  // the worker has answered the stop
+  micros stop_since{0};    // it was ordered
   bool life_over = false;  // ordered of an earlier life of the worker
   uint32_t tries = 0;      // starts sent
   micros since{0};         // the order came, or its wait for room was over
--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -155,6 +155,8 @@
 }
 
 void AskToStop(keeper_state& k, micros now, kept_run& run) {
+  if (run.state != run_state::stopping)
+    run.stop_since = now;
   run.state = run_state::stopping;
   run.stop_done = false;
   run.called = now;
@@ -179,6 +181,26 @@
   return k.look_failed ? 0 : AckedEnds(k);
 }
 
+// Its owner counts it as over when no lease granted until its vouch ran out, or
+// until the stop was ordered, can be left.
+bool MustLapse(const keeper_state& k, micros now, const kept_run& run) {
+  if (WaitsForRoom(run) || run.stop_done)
+    return false;
+  const bool overdue = run.state == run_state::stopping &&
+                       now - run.stop_since > k.options.bounds.margin;
+  return overdue || !Vouched(k, now, run.owner);
+}
+
+// Failure guarded against: a worker answers looks and leaves orders to stop
+// unanswered. Each look would give what nobody vouches for a longer lease, and
+// its task runs elsewhere by then. A lease is one for all that runs there.
+bool SomeMustLapse(const keeper_state& k, micros now) {
+  return !k.strays.empty() ||
+         std::any_of(k.runs.begin(), k.runs.end(), [&](const auto& row) {
+           return MustLapse(k, now, row.second);
+         });
+}
+
 }  // namespace
 
 void CallLook(keeper_state& k, micros now) {
@@ -195,7 +217,8 @@
   // as long as it is asked.
   const bool answers = now - k.last_answer <= k.options.suspect_after;
   const bool extends = k.opened && k.has_clock && !k.runs.empty() && answers &&
-                       k.lapsing_until.value == 0 && !MayBeOver(k);
+                       k.lapsing_until.value == 0 && !MayBeOver(k) &&
+                       !SomeMustLapse(k, now);
   look.lease_until_ms = extends ? GrantLease(k, now) : 0;
   const bool waits = k.opened && !k.successor;
   look.wait_ms = waits ? ToMillis(LookWait(k, now)) : 0;
