Proxy stand-in: the end of a connection is held up in a direction that is silent

It closed both ends at once when one ended, so that a caller who left behind a silent direction was seen to leave. The end now passes when that direction goes on; "cut" closes both as before.

--- a/standins/proxy_main.cc
+++ b/standins/proxy_main.cc
@@ -4,8 +4,8 @@
 // target may be set later. POST /listeners/N with any of {"target": "ip:port",
 // "cut": true} (closes all its connections), {"refuse": BOOL} (new ones are
 // closed at once), {"freeze_to_target": BOOL, "freeze_to_source": BOOL} (one
-// direction goes silent on connections open now), {"freeze_new": BOOL} (new
-// ones too),
+// direction goes silent on connections open now: bytes, and the end as well),
+// {"freeze_new": BOOL} (new ones too),
 // {"delay_ms": N}, {"cut_after": N} (closes each connection after so many more
 // bytes to the source). GET /listeners/N -> connections and bytes.
 
@@ -81,7 +81,7 @@
         asio::buffer(buffer_),
         [self = shared_from_this()](asio::error_code error, size_t n) {
           if (error)
-            self->connection_->Close();
+            self->PassEnd(!self->to_source_);
           else
             self->Hold(n, std::chrono::milliseconds(self->listener_->delay_ms));
         });
@@ -99,6 +99,19 @@
                       : connection_->freeze_to_target;
   }
 
+  // Tells one end that the other is gone, when the way there isn't frozen.
+  void PassEnd(bool to_target) {
+    const connection& c = *connection_;
+    if (!(to_target ? c.freeze_to_target : c.freeze_to_source)) {
+      connection_->Close();
+      return;
+    }
+    timer_.expires_after(kFreezePoll);
+    timer_.async_wait([self = shared_from_this(), to_target](asio::error_code) {
+      self->PassEnd(to_target);
+    });
+  }
+
   // Waits out the delay, then a freeze for as long as it lasts.
   void Hold(size_t n, std::chrono::milliseconds time) {
     if (time.count() == 0 && !IsFrozen()) {
@@ -124,8 +137,10 @@
         To(), asio::buffer(buffer_.data(), n),
         [self = shared_from_this(), last](asio::error_code error, size_t n) {
           self->listener_->bytes += n;
-          if (error || last)
+          if (last)
             self->connection_->Close();
+          else if (error)
+            self->PassEnd(self->to_source_);
           else
             self->Read();
         });
