Model of leases learns callers that leave, and words about a worker

Fault: model/leases.pml took for granted that entry A knows that its caller has gone whenever it acts, so it could not show the incident's first cause (request and end of its connection read in one turn, the end dropped).

Now the request may reach A late, with the end of its connection behind it; a running A reads the end some steps after the break, a frozen one before it acts. A stop may get lost, A may have no room at first, a freeze of A doesn't end its caller's connection by itself, and the horizon is 16 steps, not 13. New mutants: OVERTAKEN, TRUSTS_WORD, VOUCHES_UNREAD. No mutant is gone, none of the expected verdicts changed.

What the bound takes for granted stands as pairs, one that holds and the next step that doesn't. With S = RESEND - (VOUCH + LEASE), 1 here: the end read up to S + 1 steps after the break; that many for the end's way and an unnoticed pause together; a one-sided break only with DEADLINE + time until it is read below that, or a caller that leaves at its deadline, and a request read so soon.

--- a/model/check.sh
+++ b/model/check.sh
@@ -43,7 +43,16 @@
 expect holds claims
 for m in NO_ASK NO_VERSION ABSENT_IS_WON FORGET_STARTED CRASHED_IS_FREE; do expect violated claims $m; done
 expect holds leases
-for m in NO_VOUCH NO_ECHO NO_LATE NO_LEASE NO_CANCEL NO_SETTLE FROM_HEARD; do expect violated leases $m; done
+for m in NO_VOUCH NO_ECHO NO_LATE NO_LEASE NO_CANCEL NO_SETTLE VOUCHES_UNREAD OVERTAKEN FROM_HEARD TRUSTS_WORD; do expect violated leases $m; done
+# What the bound takes for granted: each holds as far as it goes, and not a step further.
+expect violated leases NET=3
+expect holds leases NET=0 PAUSE=2
+expect violated leases NET=0 PAUSE=3
+expect violated leases ONE_SIDED
+expect holds leases ONE_SIDED DEADLINE=2 READ_WITHIN=0
+expect violated leases ONE_SIDED DEADLINE=3 READ_WITHIN=0
+expect holds leases ONE_SIDED DEADLINE=4 LEAVES_AT=4 READ_WITHIN=2
+expect violated leases ONE_SIDED DEADLINE=4 LEAVES_AT=4 READ_WITHIN=3
 expect holds journal
 for m in NO_CHAIN CONFIRM_EARLY SCAN_FIRST ACK_EARLY NO_GIVE_UP NO_LAPSE; do expect violated journal $m; done
 expect holds closings
