A start goes to the worker in copies that the keeper knows of

The first copy of a start may have been carried out; a refusal of the second (503, or 409 for room) then counted as the one try's, as never started, and the task started elsewhere.

Change: http_call::send_once. The second copy isn't sent; the call ends without an answer. For the keeper that is a lost copy: it tries again under the same number, and a refusal after it is followed by a stop. Stops and looks may be sent twice: both copies say the same, and what a look lists is read from the answer of one of them.

Not shown: the platform's worker doing so; a process test isn't part of this.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -32,6 +32,7 @@
   CURL* handle = nullptr;
   curl_slist* headers = nullptr;
   bool delimited = false;  // the answer says where it ends
+  int copies = 0;          // of the request, begun so far; counted if send_once
 };
 
 size_t TakeBody(char* data, size_t size, size_t count, void* context) {
@@ -54,6 +55,13 @@
   return line.size();
 }
 
+// Called before each copy of the request goes out.
+int CountCopy(void* context, char*, char*, int, int) {
+  auto* t = static_cast<transfer*>(context);
+  ++t->copies;
+  return t->copies == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 void Configure(transfer& t) {
   CURL* h = t.handle;
   for (const std::string& header : t.call.headers)
@@ -83,6 +91,10 @@
     curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
   }
+  if (t.call.send_once) {
+    curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, CountCopy);
+    curl_easy_setopt(h, CURLOPT_PREREQDATA, &t);
+  }
 }
 
 // Nothing was sent if the transfer never came past connecting.
@@ -101,7 +113,7 @@
   // it looks whole, with an empty body. Only an answer that says where it ends
   // counts.
   t.reply.answered = code == CURLE_OK && t.delimited;
-  t.reply.sent = code == CURLE_OK || WasSent(t.handle);
+  t.reply.sent = code == CURLE_OK || t.copies > 0 || WasSent(t.handle);
   if (code != CURLE_OK)
     t.reply.error = curl_easy_strerror(code);
   else if (!t.delimited)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -22,6 +22,9 @@
   // guarded against: when a kept connection closes before any answer, libcurl
   // sends the request again on a new one, and a POST would run twice.
   bool fresh_connection = false;
+  // The same over a kept connection: where libcurl would send the request again
+  // the call ends without an answer instead.
+  bool send_once = false;
 };
 
 struct http_reply {
