Control loop: its comment says what is in order, and what is not

Found by the review: a call runs before the tick, so what it does itself comes before events that were handed over ahead of it; only what it posts is in order. No behaviour changes.

--- a/src/net/control_loop.h
+++ b/src/net/control_loop.h
@@ -51,8 +51,8 @@
   // Before anything is posted.
   void WaitIn(waiter w) { waiter_ = std::move(w); }
 
-  // Any thread. The event is part of the next tick. What is handed over, by
-  // `Post` or by `Call`, takes effect in that order.
+  // Any thread. The event is part of the next tick, whose events stand in the
+  // order in which they, or the calls that posted them, were handed over.
   void Post(Event event) {
     if (IsTaking())
       batch_->push_back(std::move(event));
@@ -60,8 +60,9 @@
       Add(std::move(event));
   }
 
-  // Any thread. The call runs on the control thread, before the next tick; what
-  // it posts stands in that tick where the call stood.
+  // Any thread. The call runs on the control thread, before the next tick. It
+  // sees no effect of events of that tick, also of those handed over before it;
+  // what it posts stands among them where the call stood.
   void Call(call function) { Add(std::move(function)); }
 
   // Control thread. How long the oldest of what this tick handles has waited.
