Children that have been waited for are signalled no more

Fixtures signal all that they started when they end, also processes that a test has waited for; by then the number may be another process's. SignalChild asks whether the process is a child not yet waited for. Signal_ToWhatIsNoChild_IsNotSent ended a stranger before, and doesn't now.

--- a/src/apps/child.cc
+++ b/src/apps/child.cc
@@ -83,8 +83,20 @@
   return c;
 }
 
+namespace {
+
+// Failure guarded against: a child that has ended and been waited for is
+// signalled, and its number is another process's by now.
+bool IsOurs(pid_t pid) {
+  siginfo_t ignored{};
+  return waitid(P_PID, static_cast<id_t>(pid), &ignored,
+                WEXITED | WNOHANG | WNOWAIT) == 0;
+}
+
+}  // namespace
+
 void SignalChild(const child& c, int signal) {
-  if (c.pid > 0)
+  if (c.pid > 0 && IsOurs(c.pid))
     kill(c.pid, signal);
 }
 
--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -2,7 +2,10 @@
 // clear.
 
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <csignal>
 #include <future>
+#include <thread>
 
 #include "system.h"
 
@@ -70,3 +73,13 @@
     CHECK(caller.get() == kJobsEach);
   CHECK(sys.DuplicateStarts() == 0);
 }
+
+// Guards against signals to a process that has the number of a child that was
+// waited for.
+TEST_CASE_METHOD(small_system, "Signal_ToWhatIsNoChild_IsNotSent") {
+  cassiaferry::child stranger;
+  stranger.pid = sys.info["entries"][0]["pid"];
+  cassiaferry::SignalChild(stranger, SIGKILL);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  REQUIRE(sys.Status(0).is_object());
+}
