--- a/src/emulator/worker_world.cc
+++ b/src/emulator/worker_world.cc
@@ -8,6 +8,7 @@
 #include "leased_world.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace cassiaferry::emulator {
@@ -40,6 +41,9 @@
   if (const auto* note = std::get_if<keeper_note>(&call)) {
     Log("sidecar-" + std::to_string(sidecar),
         std::string(note->what) + ", " + note->detail);
+    // Seeds stand for the same days whether or not ends are logged.
+    if (note->what != std::string_view("run ended"))
+      Chance();
     return;
   }
   const uint64_t life = sidecars[static_cast<size_t>(sidecar)].lives;
