Deadlines count from a request's arrival, not from its reading

Cause: the entry stood still (SIGSTOP) while a request with a deadline of 300 ms waited in its socket. On waking it read the request and counted the deadline from then, so it started the job 1.6 s after it was sent, for a caller that stayed connected but had given it up.

Change: the HTTP server asks the kernel when the socket's newest bytes arrived (TCP_INFO, tcpi_last_data_recv), and the deadline of leased jobs and of jobs on the product's own interface counts from there. That also covers what waits between the HTTP thread and the control thread. The newest bytes may be those of a following request; the deadline is then too late by their distance, never too early. Order, lateness and admission count from the reading as before: a first try counted them from the arrival too, and then a request with 6 s to go, read after 1.6 s, was refused although workers were free (test request_read_before_its_deadline_is_served); taken back.

The emulator now stamps requests as the kernel does, so that a frozen emulated entry meets the case.

--- a/include/cassiaferry/entry.h
+++ b/include/cassiaferry/entry.h
@@ -85,6 +85,7 @@
 struct job_submitted {
   ticket_id ticket;
   job_request request;
+  micros received{0};  // when it reached this machine; 0: with this event
 };
 struct job_invalid {  // a body that is readable but not acceptable
   ticket_id ticket;
--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -63,6 +63,7 @@
 struct leased_job_submitted {
   ticket_id ticket;
   leased_job_request request;
+  micros received{0};  // when it reached this machine; 0: with this event
 };
 
 struct answer_leased_job {
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -111,7 +111,7 @@
   void ActLeased(entry_action& action);
 
   // Durable jobs on the product's own interface (entry_durable.cc).
-  void OnDurableJob(ticket_id ticket, const nlohmann::json& body);
+  void OnDurableJob(const http_request& r, const nlohmann::json& body);
   void OnDurableState(ticket_id ticket, const std::string& id);
   void AnswerDurable(const answer_leased_job& answer);
   void AnswerDurable(const answer_leased_state& answer);
--- a/src/apps/entry_durable.cc
+++ b/src/apps/entry_durable.cc
@@ -118,7 +118,8 @@
 
 // ---- [2] Requests -----------------------------------------------------------
 
-void entry_app::OnDurableJob(ticket_id ticket, const json& body) {
+void entry_app::OnDurableJob(const http_request& r, const json& body) {
+  const ticket_id ticket = r.ticket;
   if (!HasLeasedJobs()) {
     Refuse(ticket, {verdict::not_run, reason::not_supported,
                     "this entry has no store for durable jobs", 0});
@@ -130,7 +131,7 @@
                     errors.front().path + ": " + errors.front().message, 0});
     return;
   }
-  loop_.Post(leased_job_submitted{ticket, ReadJob(body)});
+  loop_.Post(leased_job_submitted{ticket, ReadJob(body), r.received});
 }
 
 void entry_app::OnDurableState(ticket_id ticket, const std::string& id) {
--- a/src/apps/entry_http.cc
+++ b/src/apps/entry_http.cc
@@ -118,7 +118,7 @@
     return;
   }
   if (body.is_object() && body.value("durable", json(false)) == json(true)) {
-    OnDurableJob(r.ticket, body);
+    OnDurableJob(r, body);
     return;
   }
   const std::vector<config_error> errors = CheckJob(body);
@@ -137,7 +137,7 @@
                                      "client may send the request twice")});
     return;
   }
-  loop_.Post(job_submitted{r.ticket, ReadJob(body)});
+  loop_.Post(job_submitted{r.ticket, ReadJob(body), r.received});
 }
 
 void entry_app::OnRequest(const http_request& r) {
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -146,6 +146,7 @@
 void entry_app::SubmitCall(const http_request& r, const queue_config& queue) {
   leased_job_submitted event;
   event.ticket = r.ticket;
+  event.received = r.received;
   std::string error;
   if (!platform::ReadJob(r, event.request, error)) {
     AnswerCaller(r.ticket, platform::BadRequestResponse(error));
--- a/src/core/durable_adoption.cc
+++ b/src/core/durable_adoption.cc
@@ -127,7 +127,7 @@
   job.durable.not_before = now + RunsOverAfter(l.options.bounds);
   MakeTasks(job, FirstRun(job.durable.epoch));
   ReadProgressRow(adopted.progress, job);
-  SetBounds(job, now, micros{0}, l.estimates[job.queue.name].ratio);
+  SetBounds(job, now, l.estimates[job.queue.name].ratio);
   ++l.durable.jobs;
   ++l.durable.counters.adopted;
   leased_job& row = AddLeasedJob(l, std::move(job));
--- a/src/core/entry_jobs.cc
+++ b/src/core/entry_jobs.cc
@@ -390,7 +390,7 @@
   job.arrival = now;
   const int64_t deadline_ms =
       r.deadline_ms > 0 ? r.deadline_ms : s.config.limits.default_deadline_ms;
-  job.deadline = now + Millis(deadline_ms);
+  job.deadline = ArrivalOf(event.received, now) + Millis(deadline_ms);
   job.tasks.resize(r.tasks.size());
   for (size_t i = 0; i < r.tasks.size(); ++i)
     job.tasks[i].request = std::move(r.tasks[i]);
@@ -438,6 +438,10 @@
 
 }  // namespace
 
+micros ArrivalOf(micros received, micros now) {
+  return received.value == 0 ? now : std::min(received, now);
+}
+
 void SubmitJob(entry_state& s, micros now, job_submitted event) {
   ++s.metrics.jobs_received;
   const job_id id{s.options.self, job_seq{s.next_job++}};
--- a/src/core/entry_systems.h
+++ b/src/core/entry_systems.h
@@ -19,6 +19,11 @@
 
 // ---- [1] Jobs (entry_jobs.cc) -----------------------------------------------
 
+// When a job arrived, from which its caller's deadline counts. Failure guarded
+// against: this process stood still, or is short of processor time, while the
+// request waited in its socket. Counted from its reading, the deadline would
+// pass after the caller has given up, and tasks would start for nobody.
+micros ArrivalOf(micros received, micros now);
 void SubmitJob(entry_state& s, micros now, job_submitted event);
 void RefuseInvalid(entry_state& s, micros now, job_invalid event);
 // False if the ticket belongs to no job of this kind (it may be a leased
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -203,7 +203,7 @@
 
 }  // namespace
 
-void SetBounds(leased_job& job, micros now, micros wait, double ratio) {
+void SetBounds(leased_job& job, micros now, double ratio) {
   job.arrival = now;
   job.expected = ExpectedWork(job, ratio);
   const micros on_time{
@@ -212,8 +212,6 @@
       Millis(job.queue.allowance_ms).value};
   job.late_after = now + on_time;
   job.useless_after = now + micros{on_time.value * kUselessFactor};
-  if (wait.value > 0)
-    job.deadline = now + wait;
 }
 
 void MakeTasks(leased_job& job, uint32_t first_run) {
@@ -337,7 +335,9 @@
   if (r.durable)
     job.durable.stage = durable_stage::accepting;
   MakeTasks(job, r.durable ? FirstRun(job.durable.epoch) : 0);
-  SetBounds(job, now, Millis(r.wait_ms), l.estimates[queue.name].ratio);
+  SetBounds(job, now, l.estimates[queue.name].ratio);
+  if (r.wait_ms > 0)
+    job.deadline = ArrivalOf(event.received, now) + Millis(r.wait_ms);
   return job;
 }
 
--- a/src/core/leased_systems.h
+++ b/src/core/leased_systems.h
@@ -31,7 +31,7 @@
             std::string detail);
 
 void MakeTasks(leased_job& job, uint32_t first_run);
-void SetBounds(leased_job& job, micros now, micros wait, double ratio);
+void SetBounds(leased_job& job, micros now, double ratio);
 leased_job& AddLeasedJob(leased_state& s, leased_job job);
 // Makes blocked tasks wait for capacity once the steps before them are done.
 void ReleaseTasks(leased_state& s, leased_job& job);
--- a/src/emulator/caller_world.cc
+++ b/src/emulator/caller_world.cc
@@ -79,10 +79,11 @@
   tickets_[{entry, ticket}] = id;
   const micros sent = Transmit(e.in, job.payload_bytes + kRequestBytes);
   At(sent + options.caller_delay,
-     [this, entry, life = e.lives, event = std::move(event)] {
+     [this, entry, life = e.lives, event = std::move(event)]() mutable {
        emulated_entry& same = entries[static_cast<size_t>(entry)];
        if (same.lives != life)
          return;
+       event.received = now;
        same.inbox.emplace_back(event);
        WakeEntry(entry);
      });
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -2,7 +2,9 @@
 
 #include "http_server.h"
 
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <charconv>
 #include <map>
@@ -11,6 +13,8 @@
 #include <restinio/all.hpp>
 #include <unordered_map>
 
+#include "control_loop.h"
+
 namespace cassiaferry {
 
 namespace {
@@ -48,6 +52,15 @@
   return HasEnded(one.front());
 }
 
+// When the newest bytes of the socket arrived, read or not.
+micros NewestArrival(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    return Now();
+  return Now() - Millis(info.tcpi_last_data_recv);
+}
+
 // Requests under way, by ticket and by connection.
 class pending_table {
  public:
@@ -244,6 +257,7 @@
   }
   const ticket_id ticket{next_ticket++};
   http_request r = ReadRequest(request, options.keep_headers, ticket);
+  r.received = NewestArrival(caller_socket::reading);
   r.caller_left = HasEnded(caller_socket::reading);
   pending.Add(ticket, request, caller_socket::reading);
   on_request(std::move(r));
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -27,6 +27,8 @@
   std::string host;               // the header's value, without a port
   std::vector<std::string> kept;  // values of the headers that the options
                                   // name, in that order; empty if absent
+  micros received{0};  // when its last bytes reached this machine, on the clock
+                       // of `Now`; later if more followed them unread
   bool caller_left = false;  // it had closed the connection before this was
                              // read, and hears no answer
 };
--- a/tests/lateness_unit_test.cc
+++ b/tests/lateness_unit_test.cc
@@ -50,7 +50,7 @@
     job.queue.allowance_ms = 60;
     job.steps.resize(1);
     job.steps[0].expected_ms = run_ms;
-    SetBounds(job, w.now, Millis(3000), 1);
+    SetBounds(job, w.now, 1);
     int refused = 0;
     for (int i = 0; i < 100; ++i)
       refused += RefusesNewWork(Entry(), job) ? 1 : 0;
