A process costs what it uses: at most 12 threads on any host

Cause: gRPC sizes its pools by the cores of the host, whatever a process may use: 16 threads of its event engine in each process, 8 more that poll its callback interface in each sidecar.

Change, by gRPC's own means: an event engine with one thread for timers and callbacks (SetEventEngineFactory; this version uses it for nothing else), and the sidecar's streams on a completion queue that its control thread polls, as the entry's have been. What both need of such a queue stands once (grpc_runtime). The thread of the signals looks at the settings file, instead of one more thread; a reload can no longer run into the end of the process.

Checked: processes_serving_have_few_threads counts them in started processes under load: 13 an entry with the settings' own thread, 12 and fewer now, 29 and 47 before.

--- a/src/apps/app.cc
+++ b/src/apps/app.cc
@@ -79,12 +79,21 @@
 
 namespace {
 
+constexpr timespec kSettingsLook{2, 0};
+
+// Content of the settings file when it was last read.
+struct watched_file {
+  std::string name;
+  std::string content;
+};
+
 // The first signal may come before the process knows how to drain.
 struct stop_state {
   std::mutex mutex;
   bool signalled = false;
   std::function<void()> stop;
   std::function<void()> reload;
+  watched_file settings;
 };
 
 stop_state& StopState() {
@@ -99,24 +108,35 @@
     StopState().stop();
 }
 
+// Under the lock, so that what it calls lives until OnReload replaces it.
 void Reload() {
-  std::function<void()> reload;
-  {
-    const std::lock_guard lock(StopState().mutex);
-    reload = StopState().reload;
-  }
-  if (reload)
-    reload();
+  const std::lock_guard lock(StopState().mutex);
+  if (StopState().reload)
+    StopState().reload();
+}
+
+// False also where the file can't be read.
+bool SettingsChanged() {
+  const std::lock_guard lock(StopState().mutex);
+  watched_file& settings = StopState().settings;
+  if (settings.name.empty())
+    return false;
+  std::string error;
+  std::string content = ReadFile(settings.name, error);
+  if (!error.empty() || content == settings.content)
+    return false;
+  settings.content = std::move(content);
+  return true;
 }
 
 // The next signal that asks for the end; others are dealt with on the way.
 int WaitForStop(const sigset_t& set) {
   for (;;) {
-    int number = 0;
-    sigwait(&set, &number);
-    if (number != SIGHUP)
+    const int number = sigtimedwait(&set, nullptr, &kSettingsLook);
+    if (number == SIGTERM || number == SIGINT)
       return number;
-    Reload();
+    if (number == SIGHUP || SettingsChanged())
+      Reload();
   }
 }
 
@@ -138,39 +158,12 @@
   }).detach();
 }
 
-void OnReload(std::function<void()> reload) {
+void OnReload(std::string file, std::function<void()> reload) {
+  std::string error;
+  std::string content = ReadFile(file, error);
   const std::lock_guard lock(StopState().mutex);
   StopState().reload = std::move(reload);
-}
-
-file_watch::file_watch(std::string file,
-                       std::chrono::milliseconds period,
-                       std::function<void()> reload) {
-  thread_ = std::thread(
-      [this, file = std::move(file), period, reload = std::move(reload)] {
-        std::string error;
-        std::string before = ReadFile(file, error);
-        std::unique_lock lock(mutex_);
-        while (!wake_.wait_for(lock, period, [this] { return stopped_; })) {
-          std::string unread;
-          std::string now = ReadFile(file, unread);
-          if (!unread.empty() || now == before)
-            continue;
-          before = std::move(now);
-          lock.unlock();
-          reload();
-          lock.lock();
-        }
-      });
-}
-
-file_watch::~file_watch() {
-  {
-    const std::lock_guard lock(mutex_);
-    stopped_ = true;
-  }
-  wake_.notify_one();
-  thread_.join();
+  StopState().settings = {std::move(file), std::move(content)};
 }
 
 void OnStop(std::function<void()> stop) {
--- a/src/apps/app.h
+++ b/src/apps/app.h
@@ -3,13 +3,9 @@
 #ifndef CASSIAFERRY_SRC_APPS_APP_H_
 #define CASSIAFERRY_SRC_APPS_APP_H_
 
-#include <chrono>
-#include <condition_variable>
 #include <functional>
-#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "../net/http_server.h"
@@ -48,26 +44,11 @@
 // What to do on the first signal; called at once if it has come already.
 void OnStop(std::function<void()> stop);
 
-// What to do on SIGHUP: the settings file has changed. Without it SIGHUP is
-// ignored. Failure guarded against: its default is to end the process at once,
-// with every request that it serves.
-void OnReload(std::function<void()> reload);
-
-// Calls `reload` when the file's content changes, too: not every change of the
-// settings comes with a signal. Looks every `period`, on a thread of its own.
-class file_watch {
- public:
-  file_watch(std::string file,
-             std::chrono::milliseconds period,
-             std::function<void()> reload);
-  ~file_watch();
-
- private:
-  std::mutex mutex_;
-  std::condition_variable wake_;
-  bool stopped_ = false;
-  std::thread thread_;
-};
+// What to do on SIGHUP, and when the content of the settings file changes: not
+// every change comes with a signal. Called on the thread of the signals.
+// Without it SIGHUP is ignored. Failure guarded against: its default is to end
+// the process at once, with every request that it serves.
+void OnReload(std::string file, std::function<void()> reload);
 
 // As ReadSettings, for a file that changes while the process runs: empty if it
 // can't be used, and `error` says why.
--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -21,7 +21,6 @@
 namespace cassiaferry {
 namespace {
 
-constexpr std::chrono::milliseconds kSettingsLook{2000};
 
 const std::vector<field_rule> kRules = {
     {"name", field_kind::text, 1, 128, true},
@@ -145,9 +144,8 @@
   app.Start();
   OnStop([&app] { app.Drain(); });
   const auto reload = [&app] { Reload(app); };
-  OnReload(reload);
-  const file_watch watch(FLAGS_settings, kSettingsLook, reload);
+  OnReload(FLAGS_settings, reload);
   app.Run();
-  OnReload({});
+  OnReload({}, {});
   return kExitOk;
 }
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -39,7 +39,6 @@
 constexpr std::chrono::milliseconds kIdleTick{50};
 // While starts wait for room: a quarter of the time that they may.
 constexpr std::chrono::milliseconds kWaitingTick{5};
-constexpr std::chrono::milliseconds kSettingsLook{2000};
 
 // ---- [1] Settings -----------------------------------------------------------
 
@@ -152,7 +151,10 @@
           },
           [this](entry_id link, link_epoch epoch) {
             loop_.Post(link_lost{link, epoch});
-          }) {}
+          }) {
+  loop_.WaitIn({[this](std::chrono::milliseconds most) { links_.Wait(most); },
+                [this] { links_.Wake(); }});
+}
 
 void sidecar_app::Start(const json& settings) {
   worker_address_ = settings.value("worker", "");
@@ -451,9 +453,8 @@
   app.Start(settings);
   OnStop([&app] { app.Drain(); });
   const auto reload = [&app] { app.Reload(); };
-  OnReload(reload);
-  const file_watch watch(FLAGS_settings, kSettingsLook, reload);
+  OnReload(FLAGS_settings, reload);
   app.Run();
-  OnReload({});
+  OnReload({}, {});
   return kExitOk;
 }
--- a/src/net/link_server.cc
+++ b/src/net/link_server.cc
@@ -8,18 +8,17 @@
 
 #include "link_server.h"
 
-#include <grpcpp/alarm.h>
 #include <grpcpp/grpcpp.h>
 
 #include <atomic>
 #include <chrono>
 #include <deque>
-#include <mutex>
 #include <thread>
 #include <unordered_map>
 #include <utility>
 
 #include "codec.h"
+#include "grpc_runtime.h"
 #include "link.grpc.pb.h"
 
 namespace cassiaferry {
@@ -30,9 +29,6 @@
 // For streams whose sidecars don't answer, at the end of a planned stop.
 constexpr std::chrono::milliseconds kFinishGrace{500};
 constexpr std::chrono::milliseconds kFinishPoll{5};
-// The library rounds deadlines up to its milliseconds: by "now" it would wait
-// for one, and set a timer where a wake-up is wanted.
-constexpr std::chrono::system_clock::time_point kAtOnce{};
 
 }  // namespace
 
@@ -40,7 +36,7 @@
 
 namespace {
 
-enum class operation : uint8_t { accept, read, write, finish, done, wake };
+enum class operation : uint8_t { accept, read, write, finish, done };
 
 }  // namespace
 
@@ -48,8 +44,8 @@
 struct link_server::stream {
   // What the completion queue gives back.
   struct tag {
-    stream* of = nullptr;  // null: a wake-up
-    operation what = operation::wake;
+    stream* of = nullptr;
+    operation what = operation::accept;
   };
 
   explicit stream(link_id name) : id(name) {}
@@ -72,6 +68,8 @@
 };
 
 struct link_server::impl {
+  impl() : waiter([this](void* tag, bool ok) { HandleTag(tag, ok); }) {}
+
   frame_callback on_frame;
   lost_callback on_lost;
   wire::Link::AsyncService service;
@@ -81,19 +79,14 @@
   uint64_t next_link = 1;
   std::atomic<uint64_t> bytes_sent{0};
   bool stopping = false;
-  std::mutex wake_mutex;  // guards the next three
-  bool closed = false;    // no more alarms
-  bool woken = false;     // the alarm is set
-  grpc::Alarm alarm;
-  stream::tag wake;
+  queue_waiter waiter;
 
   void Accept();
   void Read(stream& s);
   void Write(stream& s);
   void Break(stream& s);
   void Take(stream& s, operation what, bool ok);
-  void TakeTag(void* tag, bool ok);
-  bool PollOnce(std::chrono::system_clock::time_point until);
+  void HandleTag(void* tag, bool ok);
 };
 
 void link_server::impl::Read(stream& s) {
@@ -163,18 +156,12 @@
       Break(s);
       return;
     case operation::finish:
-    case operation::wake:
       return;
   }
 }
 
-void link_server::impl::TakeTag(void* tag, bool ok) {
+void link_server::impl::HandleTag(void* tag, bool ok) {
   const auto* taken = static_cast<stream::tag*>(tag);
-  if (taken->of == nullptr) {
-    const std::lock_guard lock(wake_mutex);
-    woken = false;
-    return;
-  }
   stream& s = *taken->of;
   --s.open;
   Take(s, taken->what, ok);
@@ -185,21 +172,11 @@
   streams.erase(s.id);
 }
 
-// False: nothing came in that time, or the queue is shut down.
-bool link_server::impl::PollOnce(std::chrono::system_clock::time_point until) {
-  void* tag = nullptr;
-  bool ok = false;
-  if (queue->AsyncNext(&tag, &ok, until) !=
-      grpc::CompletionQueue::NextStatus::GOT_EVENT)
-    return false;
-  TakeTag(tag, ok);
-  return true;
-}
-
 // ---- [3] The server ---------------------------------------------------------
 
-link_server::link_server(frame_callback on_frame, lost_callback on_lost)
-    : impl_(std::make_unique<impl>()) {
+link_server::link_server(frame_callback on_frame, lost_callback on_lost) {
+  UseSingleGrpcThread();
+  impl_ = std::make_unique<impl>();
   impl_->on_frame = std::move(on_frame);
   impl_->on_lost = std::move(on_lost);
 }
@@ -216,6 +193,7 @@
   builder.SetMaxReceiveMessageSize(kMaxFrameBytes);
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   impl_->queue = builder.AddCompletionQueue();
+  impl_->waiter.Attach(impl_->queue.get());
   impl_->server = builder.BuildAndStart();
   if (!impl_->server || port == 0)
     return "";
@@ -224,21 +202,11 @@
 }
 
 void link_server::Wait(std::chrono::milliseconds most) {
-  // What else is there is taken in one go, so that one tick answers all; not
-  // without end, as callers wait for that tick.
-  constexpr int kMostAtOnce = 200;
-  if (!impl_->PollOnce(std::chrono::system_clock::now() + most))
-    return;
-  for (int i = 1; i < kMostAtOnce && impl_->PollOnce(kAtOnce); ++i) {
-  }
+  impl_->waiter.Wait(most);
 }
 
 void link_server::Wake() {
-  const std::lock_guard lock(impl_->wake_mutex);
-  if (impl_->woken || impl_->closed)
-    return;
-  impl_->woken = true;
-  impl_->alarm.Set(impl_->queue.get(), kAtOnce, &impl_->wake);
+  impl_->waiter.Wake();
 }
 
 void link_server::Send(link_id link, const entry_frame& frame) {
@@ -264,23 +232,16 @@
   if (!impl_->server)
     return;
   impl_->stopping = true;
-  {
-    const std::lock_guard lock(impl_->wake_mutex);
-    impl_->closed = true;
-  }
+  impl_->waiter.StopWaking();
   std::atomic<bool> ended{false};
   std::thread shutdown([&] {
     impl_->server->Shutdown(std::chrono::system_clock::now() + kFinishGrace);
     ended = true;
   });
   while (!ended)
-    impl_->PollOnce(std::chrono::system_clock::now() + kFinishPoll);
+    impl_->waiter.WaitOnce(kFinishPoll);
   shutdown.join();
-  impl_->queue->Shutdown();
-  void* tag = nullptr;
-  bool ok = false;
-  while (impl_->queue->Next(&tag, &ok))
-    impl_->TakeTag(tag, ok);
+  impl_->waiter.ShutDown();
   impl_->server.reset();
 }
 
