Sidecars open their connections themselves: no thread of gRPC's for each

Seen: with 10 threads a sidecar the fleet still could not be started: 'no room for more threads'. A sidecar whose settings name 183 addresses had 40 threads, 32 of them of gRPC's default executor, on 16 cores.

Cause: a breakpoint on Executor::Run showed one caller, gRPC's TCP client: it hands the end of each connecting, open or failed, to the executor, which adds a thread whenever more than two tasks wait, up to twice the host's cores, and keeps them.

Change: the connection is opened on gRPC's one thread (Asio), and the open socket goes to gRPC as a channel of its own (CreateCustomInsecureChannelFromFd). Weighed: fewer dials at a time (8) left 40 threads, as refused connections fail within microseconds, one after the other.

--- a/src/net/grpc_runtime.cc
+++ b/src/net/grpc_runtime.cc
@@ -2,11 +2,13 @@
 //
 // Contents
 //   [1] Threads
-//   [2] Completion queues
+//   [2] Connections
+//   [3] Completion queues
 
 #include "grpc_runtime.h"
 
 #include <grpc/event_engine/event_engine.h>
+#include <unistd.h>
 
 #include <asio.hpp>
 #include <memory>
@@ -14,6 +16,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "http_server.h"
+
 namespace cassiaferry {
 
 // ---- [1] Threads ------------------------------------------------------------
@@ -27,11 +31,12 @@
 
 using task = absl::AnyInvocable<void()>;
 
-// Tasks and timers on one thread. Shared with that thread, so that the last
-// owner may be a task that runs there.
+// Tasks, timers and connections on one thread.
 struct task_loop {
   using timer_id = intptr_t;
 
+  task_loop() : thread([this] { io.run(); }) {}
+
   timer_id Add(EventEngine::Duration delay, task what);
   bool Cancel(timer_id id);
   void Expire(timer_id id);
@@ -42,14 +47,21 @@
     task what;
   };
 
-  asio::io_context io;
+  asio::io_context io{1};
   asio::executor_work_guard<asio::io_context::executor_type> work{
       io.get_executor()};
   std::mutex mutex;  // guards what follows
   std::unordered_map<timer_id, std::unique_ptr<pending_task>> pending;
   timer_id next = 1;
+  std::thread thread;
 };
 
+// Never destroyed: gRPC may still have tasks when the process ends.
+task_loop& Loop() {
+  static auto* loop = new task_loop;
+  return *loop;
+}
+
 task_loop::timer_id task_loop::Add(EventEngine::Duration delay, task what) {
   const std::lock_guard lock(mutex);
   const timer_id id = next++;
@@ -93,40 +105,27 @@
 // this version; calls for them fail.
 class single_thread_engine : public EventEngine {
  public:
-  single_thread_engine()
-      : loop_(std::make_shared<task_loop>()),
-        thread_([loop = loop_] { loop->io.run(); }) {}
-
-  ~single_thread_engine() override {
-    loop_->work.reset();
-    loop_->io.stop();
-    if (thread_.get_id() == std::this_thread::get_id())
-      thread_.detach();
-    else
-      thread_.join();
-  }
-
   bool IsWorkerThread() override {
-    return thread_.get_id() == std::this_thread::get_id();
+    return Loop().thread.get_id() == std::this_thread::get_id();
   }
 
   void Run(Closure* closure) override {
-    asio::post(loop_->io, [closure] { closure->Run(); });
+    asio::post(Loop().io, [closure] { closure->Run(); });
   }
   void Run(absl::AnyInvocable<void()> closure) override {
     // The executor wants handlers that can be copied.
     const auto shared = std::make_shared<task>(std::move(closure));
-    asio::post(loop_->io, [shared] { (*shared)(); });
+    asio::post(Loop().io, [shared] { (*shared)(); });
   }
   TaskHandle RunAfter(Duration when, Closure* closure) override {
-    return {{loop_->Add(when, [closure] { closure->Run(); }), 0}};
+    return {{Loop().Add(when, [closure] { closure->Run(); }), 0}};
   }
   TaskHandle RunAfter(Duration when,
                       absl::AnyInvocable<void()> closure) override {
-    return {{loop_->Add(when, std::move(closure)), 0}};
+    return {{Loop().Add(when, std::move(closure)), 0}};
   }
   bool Cancel(TaskHandle handle) override {
-    return loop_->Cancel(handle.keys[0]);
+    return Loop().Cancel(handle.keys[0]);
   }
 
   absl::StatusOr<std::unique_ptr<Listener>> CreateListener(
@@ -148,10 +147,6 @@
       const DNSResolver::ResolverOptions&) override {
     return nullptr;
   }
-
- private:
-  std::shared_ptr<task_loop> loop_;
-  std::thread thread_;
 };
 
 }  // namespace
@@ -164,7 +159,90 @@
   });
 }
 
-// ---- [2] Completion queues --------------------------------------------------
+// ---- [2] Connections --------------------------------------------------------
+
+using asio::ip::tcp;
+
+// Shared with handlers on gRPC's thread, which may run after the owner's end.
+struct connector::impl {
+  explicit impl(opened_callback callback) : on_opened(std::move(callback)) {}
+
+  void Begin(const std::shared_ptr<impl>& self,
+             uint64_t id,
+             const std::string& address);
+  void Finish(uint64_t id, const asio::error_code& error);
+  void Report(uint64_t id, int socket);
+
+  std::mutex mutex;  // guards the callback
+  opened_callback on_opened;
+  // On gRPC's thread only.
+  std::unordered_map<uint64_t, tcp::socket> connecting;
+};
+
+void connector::impl::Report(uint64_t id, int socket) {
+  const std::lock_guard lock(mutex);
+  if (on_opened)
+    on_opened(id, socket);
+  else if (socket != -1)
+    close(socket);
+}
+
+void connector::impl::Begin(const std::shared_ptr<impl>& self,
+                            uint64_t id,
+                            const std::string& address) {
+  std::string ip;
+  uint16_t port = 0;
+  asio::error_code error;
+  asio::ip::address parsed;
+  if (SplitAddress(address, ip, port))
+    parsed = asio::ip::make_address(ip, error);
+  else
+    error = asio::error::invalid_argument;
+  if (error) {
+    Report(id, -1);
+    return;
+  }
+  const auto row = connecting.emplace(id, tcp::socket(Loop().io)).first;
+  row->second.async_connect(
+      tcp::endpoint(parsed, port),
+      [self, id](const asio::error_code& e) { self->Finish(id, e); });
+}
+
+void connector::impl::Finish(uint64_t id, const asio::error_code& error) {
+  const auto row = connecting.find(id);
+  tcp::socket socket = std::move(row->second);
+  connecting.erase(row);
+  asio::error_code failed = error;
+  if (!failed)
+    socket.set_option(tcp::no_delay(true), failed);
+  if (!failed)
+    socket.native_non_blocking(true, failed);
+  Report(id, failed ? -1 : socket.release(failed));
+}
+
+connector::connector(opened_callback on_opened)
+    : impl_(std::make_shared<impl>(std::move(on_opened))) {}
+
+connector::~connector() {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->on_opened = nullptr;
+}
+
+void connector::Start(uint64_t id, const std::string& address) {
+  asio::post(Loop().io,
+             [self = impl_, id, address] { self->Begin(self, id, address); });
+}
+
+void connector::Cancel(uint64_t id) {
+  asio::post(Loop().io, [self = impl_, id] {
+    const auto row = self->connecting.find(id);
+    asio::error_code ignored;  // its connecting ends with an error either way
+    if (row != self->connecting.end())
+      row->second.close(ignored);
+  });
+}
+
+// ---- [3] Completion queues --------------------------------------------------
 
 namespace {
 
--- a/src/net/grpc_runtime.h
+++ b/src/net/grpc_runtime.h
@@ -1,12 +1,14 @@
-// How gRPC runs inside a process: one thread for its timers and callbacks, and
-// a completion queue that the control thread polls.
+// How gRPC runs inside a process: one thread for its timers, its callbacks and
+// for connecting, and a completion queue that the control thread polls.
 //
 // gRPC's own pools grow with the cores of the host, whatever a process may use:
-// on a host of 16 cores they hold 17 threads.
+// on a host of 16 cores they hold 17 threads, and 32 more where many
+// connections are made at a time.
 //
 // Contents
 //   [1] Threads
-//   [2] Completion queues
+//   [2] Connections
+//   [3] Completion queues
 
 #ifndef CASSIAFERRY_SRC_NET_GRPC_RUNTIME_H_
 #define CASSIAFERRY_SRC_NET_GRPC_RUNTIME_H_
@@ -15,8 +17,12 @@
 #include <grpcpp/completion_queue.h>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <memory>
 #include <mutex>
+#include <string>
+#include <utility>
 
 namespace cassiaferry {
 
@@ -26,7 +32,29 @@
 // before the first use of gRPC; later calls do nothing.
 void UseSingleGrpcThread();
 
-// ---- [2] Completion queues --------------------------------------------------
+// ---- [2] Connections --------------------------------------------------------
+
+// Opens TCP connections, whose sockets go to gRPC when they are open. gRPC's
+// own connecting hands each to a pool of threads.
+class connector {
+ public:
+  // `socket`: an open, non-blocking socket that the callee owns; -1: there is
+  // no connection. Called once for each call of Start, on gRPC's one thread.
+  using opened_callback = std::function<void(uint64_t id, int socket)>;
+
+  explicit connector(opened_callback on_opened);
+  ~connector();  // waits for a call of `on_opened` in progress
+
+  // `address`: "ip:port". `id`: not in use.
+  void Start(uint64_t id, const std::string& address);
+  void Cancel(uint64_t id);  // the connection is given up, if it is not open
+
+ private:
+  struct impl;
+  std::shared_ptr<impl> impl_;
+};
+
+// ---- [3] Completion queues --------------------------------------------------
 
 // Lets one thread wait for a completion queue, and others wake it.
 class queue_waiter {
--- a/src/net/link_client.cc
+++ b/src/net/link_client.cc
@@ -8,10 +8,14 @@
 
 #include "link_client.h"
 
+#include <grpcpp/create_channel_posix.h>
 #include <grpcpp/grpcpp.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <deque>
+#include <mutex>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -28,21 +32,12 @@
 constexpr std::chrono::milliseconds kFinishGrace{2000};
 constexpr std::chrono::milliseconds kFinishPoll{5};
 
-// As gRPC's target: with this scheme an address takes no look-up, and so no
-// thread of the resolver.
-std::string TargetOf(const std::string& address) {
-  const bool is_ip =
-      address.find_first_not_of("0123456789.:") == std::string::npos;
-  return is_ip ? "ipv4:" + address : address;
-}
-
-std::shared_ptr<grpc::Channel> FreshChannel(const std::string& address) {
+// A channel for one connection, which is open already. The library takes the
+// socket.
+std::shared_ptr<grpc::Channel> ChannelOf(int socket) {
   grpc::ChannelArguments arguments;
-  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   arguments.SetMaxReceiveMessageSize(kMaxFrameBytes);
-  return grpc::CreateCustomChannel(
-      TargetOf(address), grpc::InsecureChannelCredentials(), arguments);
+  return grpc::CreateCustomInsecureChannelFromFd("entry", socket, arguments);
 }
 
 enum class operation : uint8_t { start, read, write, finish };
@@ -59,11 +54,10 @@
     operation what = operation::start;
   };
 
-  stream(entry_id link_id, link_epoch stream_epoch, const std::string& address)
-      : link(link_id),
-        epoch(stream_epoch),
-        stub(wire::Link::NewStub(FreshChannel(address))) {}
+  stream(uint64_t stream_id, entry_id link_id, link_epoch stream_epoch)
+      : id(stream_id), link(link_id), epoch(stream_epoch) {}
 
+  uint64_t id;
   entry_id link;
   link_epoch epoch;
   std::unique_ptr<wire::Link::Stub> stub;
@@ -74,6 +68,7 @@
   grpc::Status status;
   wire::EntryFrame incoming;
   std::deque<wire::SidecarFrame> queue;  // the first is being written
+  bool connecting = true;
   bool started = false;
   bool broken = false;     // nothing more is read or written
   bool finishing = false;  // its status is asked for
@@ -85,12 +80,17 @@
 };
 
 struct link_client::impl {
-  impl() : waiter([this](void* tag, bool ok) { HandleTag(tag, ok); }) {
+  impl()
+      : waiter([this](void* tag, bool ok) { HandleTag(tag, ok); }),
+        connections([this](uint64_t id, int socket) { Opened(id, socket); }) {
     waiter.Attach(&queue);
   }
 
   stream* Find(entry_id link, link_epoch epoch);
-  void Begin(stream& s);
+  void Opened(uint64_t id, int socket);  // on another thread
+  void TakeOpened();
+  void Begin(stream& s, int socket);
+  void End(stream& s);
   void Read(stream& s);
   void Write(stream& s);
   void Break(stream& s);
@@ -103,11 +103,15 @@
   lost_callback on_lost;
   grpc::CompletionQueue queue;
   queue_waiter waiter;
-  // All that have operations open, and the newest of each entry.
-  std::unordered_map<stream*, std::unique_ptr<stream>> streams;
+  // All that connect or have operations open, and the newest of each entry.
+  std::unordered_map<uint64_t, std::unique_ptr<stream>> streams;
   std::unordered_map<entry_id, stream*> newest;
+  uint64_t next_stream = 1;
+  std::mutex opened_mutex;  // guards what connecting came to, by stream
+  std::vector<std::pair<uint64_t, int>> opened;
   std::atomic<uint64_t> bytes_sent{0};
   bool finished = false;
+  connector connections;  // last: its callback uses what stands above
 };
 
 // ---- [2] Operations ---------------------------------------------------------
@@ -119,12 +123,46 @@
                                                           : it->second;
 }
 
-void link_client::impl::Begin(stream& s) {
+void link_client::impl::Opened(uint64_t id, int socket) {
+  {
+    const std::lock_guard lock(opened_mutex);
+    opened.emplace_back(id, socket);
+  }
+  waiter.Wake();
+}
+
+void link_client::impl::TakeOpened() {
+  std::vector<std::pair<uint64_t, int>> taken;
+  {
+    const std::lock_guard lock(opened_mutex);
+    taken.swap(opened);
+  }
+  for (const auto& [id, socket] : taken)
+    Begin(*streams.at(id), socket);
+}
+
+void link_client::impl::Begin(stream& s, int socket) {
+  s.connecting = false;
+  if (socket == -1 || s.broken) {
+    if (socket != -1)
+      close(socket);
+    End(s);
+    return;
+  }
+  s.stub = wire::Link::NewStub(ChannelOf(socket));
   s.wire_end = s.stub->PrepareAsyncConnect(&s.context, &queue);
   ++s.open;
   s.wire_end->StartCall(&s.start);
 }
 
+void link_client::impl::End(stream& s) {
+  on_lost(s.link, s.epoch);
+  const auto it = newest.find(s.link);
+  if (it != newest.end() && it->second == &s)
+    newest.erase(it);
+  streams.erase(s.id);
+}
+
 void link_client::impl::Read(stream& s) {
   ++s.open;
   s.incoming.Clear();
@@ -149,7 +187,10 @@
 // The operations in progress fail, and the stream ends with the last of them.
 void link_client::impl::Cancel(stream& s) {
   s.broken = true;
-  s.context.TryCancel();
+  if (s.connecting)
+    connections.Cancel(s.id);
+  else
+    s.context.TryCancel();
 }
 
 void link_client::impl::Handle(stream& s, operation what, bool ok) {
@@ -194,19 +235,16 @@
   stream& s = *taken->of;
   --s.open;
   Handle(s, taken->what, ok);
-  if (s.open > 0)
-    return;
-  on_lost(s.link, s.epoch);
-  const auto it = newest.find(s.link);
-  if (it != newest.end() && it->second == &s)
-    newest.erase(it);
-  streams.erase(&s);
+  if (s.open == 0)
+    End(s);
 }
 
 void link_client::impl::WaitUntilClosed(std::chrono::milliseconds most) {
   const auto until = std::chrono::steady_clock::now() + most;
-  while (!streams.empty() && std::chrono::steady_clock::now() < until)
+  while (!streams.empty() && std::chrono::steady_clock::now() < until) {
     waiter.WaitOnce(kFinishPoll);
+    TakeOpened();
+  }
 }
 
 // ---- [3] The client ---------------------------------------------------------
@@ -224,6 +262,7 @@
 
 void link_client::Wait(std::chrono::milliseconds most) {
   impl_->waiter.Wait(most);
+  impl_->TakeOpened();
 }
 
 void link_client::Wake() {
@@ -233,11 +272,11 @@
 void link_client::Dial(entry_id link,
                        const std::string& address,
                        link_epoch epoch) {
-  auto s = std::make_unique<stream>(link, epoch, address);
-  stream& dialled = *s;
-  impl_->newest[link] = &dialled;
-  impl_->streams.emplace(&dialled, std::move(s));
-  impl_->Begin(dialled);
+  const uint64_t id = impl_->next_stream++;
+  auto s = std::make_unique<stream>(id, link, epoch);
+  impl_->newest[link] = s.get();
+  impl_->streams.emplace(id, std::move(s));
+  impl_->connections.Start(id, address);
 }
 
 void link_client::Send(entry_id link, const sidecar_frame& frame) {
