Neighbours: a sidecar keeps streams to a bounded number of entries

Cause: each sidecar dials each entry. At 183 entries and 804 sidecars these are 147,132 streams; each has a handshake after a loss of all, heartbeats without load, memory at both ends, a row at each entry, and five of six cross a failure domain.

Change: beyond 40 entries a sidecar chooses 16 by rendezvous hashing, 12 of them in its own failure domain (neighbours.h, pure; sidecar_neighbours.cc). The rows of the directory, which sidecars read anyway, also hold the entry's failure domain and its need: a multiple of the usual streams, and labels whose workers it asks for (entry_reach.cc). A stream that is not needed any more is closed by the entry once nothing is open there; the sidecar only asks for it (new fields of its frames; earlier builds ignore them and keep the stream). An entry with runs or ends at a sidecar stays dialled, and a sidecar that holds ends of an owner that is gone has streams to all. 'More than any worker has' is said only after all workers were asked for. Dials are paced while entries are down, and a dial without an answer is given longer each time. The directory's feed gathers changes for 200 ms, and an entry writes its row only where it differs.

Guards taken out by hand: open work and ends of owners that are gone are caught by a test each; the publication of labels by itself was not, as the larger reach finds the worker 100 ms later (the test's bound stands). Model: neighbours.pml holds, three mutants caught.

--- a/include/cassiaferry/entry.h
+++ b/include/cassiaferry/entry.h
@@ -33,6 +33,7 @@
 #include "cassiaferry/messages.h"
 #include "cassiaferry/metrics.h"
 #include "cassiaferry/policy.h"
+#include "cassiaferry/reach.h"
 #include "cassiaferry/verdict.h"
 
 namespace cassiaferry {
@@ -56,6 +57,7 @@
   // Finished jobs kept for `ctl explain`.
   size_t explain_history_size = 4096;
   leased_options leased;
+  reach_options reach;
 };
 
 // ---- [2] Jobs as callers send them ------------------------------------------
@@ -197,6 +199,7 @@
                                   answer_cancelled,
                                   answer_leased_state,
                                   store_call,
+                                  reach_changed,
                                   leased_decision>;
 
 // ---- [5] Tables -------------------------------------------------------------
@@ -273,7 +276,10 @@
   bool wants_config = false;  // the sidecar requests this entry's configuration
   closed_domains_version closed_version;       // newest that the sidecar has
   closed_domains_version closed_version_sent;  // on this stream
-  bool closed = false;  // its failure domain is closed for new work
+  bool closed = false;           // its failure domain is closed for new work
+  bool chooses_entries = false;  // the sidecar has streams to some entries only
+  // The sidecar asks for the stream to be closed once nothing is open there.
+  bool is_released = false;
   worker_health health;
   entry_frame outbox;  // filled during a tick, sent at its end
   bool must_send = false;
@@ -342,6 +348,7 @@
   uint32_t sent_tasks = 0;
   claims_state claims;
   leased_state leased;
+  reach_state reach;
   counters metrics;
   policy_metrics_table policies;
   std::deque<finished_job> finished;
--- a/include/cassiaferry/messages.h
+++ b/include/cassiaferry/messages.h
@@ -177,6 +177,11 @@
   closed_domains_version closed_version;
   std::optional<closed_domains> closed_set;
   std::optional<lease_reports> reports;  // of leased runs
+  // The sidecar has streams to some of the entries only.
+  bool chooses_entries = false;
+  // The entry is no neighbour any more: it starts nothing more here, and closes
+  // the stream once nothing of it is open.
+  bool release = false;
 };
 
 // ---- [4] Counting records ---------------------------------------------------
--- a/include/cassiaferry/sidecar.h
+++ b/include/cassiaferry/sidecar.h
@@ -23,10 +23,12 @@
 #include <vector>
 
 #include "cassiaferry/closed_domains.h"
+#include "cassiaferry/directory.h"
 #include "cassiaferry/ids.h"
 #include "cassiaferry/lease_manager.h"
 #include "cassiaferry/messages.h"
 #include "cassiaferry/metrics.h"
+#include "cassiaferry/neighbours.h"
 
 namespace cassiaferry {
 
@@ -39,7 +41,8 @@
   uint64_t seed = 1;               // of the random numbers in decisions
   std::vector<std::string> seeds;  // entry addresses known at the start
   link_timing timing;              // of streams to entries
-  micros redial = Millis(200);     // delay after a failed dial
+  micros redial = Millis(200);     // least delay after a failed dial
+  neighbour_options neighbours;
   // Without an announcement for this long the upstream counts as leaving.
   micros announce_timeout = Millis(3000);
   // Time after which an unanswered offer expires.
@@ -81,8 +84,8 @@
   std::string output;
 };
 struct drain_requested {};
-struct entries_found {  // entry addresses read from the platform
-  std::vector<std::string> addresses;
+struct entries_found {  // rows of the directory that are new or changed
+  std::vector<directory_row> rows;
 };
 
 using sidecar_event = std::variant<link_frame_received,
@@ -145,8 +148,14 @@
   micros last_received_at{0};
   micros last_sent{0};
   micros next_dial{0};
-  micros first_failed{0};  // 0: the last dial succeeded
-  bool is_seed = false;    // seeds are dialled for ever
+  micros first_failed{0};     // 0: the last dial succeeded
+  uint32_t failed_dials = 0;  // in a row
+  bool is_seed = false;       // seeds are dialled for ever
+  directory_row row;          // newest known; without an address if none is
+  uint64_t rank = 0;          // among the candidates for neighbours
+  bool is_neighbour = true;
+  micros not_neighbour_since{0};
+  bool is_released = false;  // the entry is asked to close the stream
   upstream_info reported_upstream;
   upstream_state reported_state = upstream_state::absent;
   sidecar_frame outbox;  // filled during a tick and sent at its end
@@ -209,6 +218,10 @@
   micros last_announced{0};
   uint64_t next_epoch = 1;
   std::vector<entry_link> links;  // indexed by entry_id
+  bool chooses_entries = false;   // some of the entries are no neighbours
+  bool choice_due = false;        // what the choice rests on has changed
+  micros chosen_at{0};            // when neighbours were last chosen
+  uint64_t dials = 0;
   std::map<incarnation, known_entry> entries;
   std::map<task_key, running_task> running;
   // By order key, then arrival.
@@ -232,6 +245,9 @@
                                  micros now,
                                  std::vector<sidecar_event> events);
 
+// Entries known, neighbours, streams and dials.
+std::string NeighboursPrometheusText(const sidecar_state& s);
+
 // Slots that neither run a task nor are reserved by an unanswered offer.
 uint32_t FreeSlots(const sidecar_state& s);
 
--- a/model/check.sh
+++ b/model/check.sh
@@ -57,5 +57,7 @@
 for m in NO_CHAIN CONFIRM_EARLY SCAN_FIRST ACK_EARLY NO_ABANDON NO_EXPIRY; do expect violated journal $m; done
 expect holds closed_domains
 for m in LAST_ARRIVAL_WINS NO_READ_VERSION KEEPS_OLD_VERSION NO_GATE NO_RELAY; do expect violated closed_domains $m; done
+expect holds neighbours
+for m in SIDECAR_CLOSES CLOSES_WITH_OPEN ONLY_NEIGHBOURS; do expect violated neighbours $m; done
 echo "model: $passed as expected, $failed not"
 [ "$failed" = 0 ]
--- a/src/apps/emulate_main.cc
+++ b/src/apps/emulate_main.cc
@@ -5,13 +5,15 @@
 //   [1] Days of faults
 //   [2] Orders side by side
 //   [3] Against the bound
-//   [4] Main
+//   [4] Growth
+//   [5] Main
 
 #include <gflags/gflags.h>
 
 #include <cstdio>
 
 #include "../emulator/load_play.h"
+#include "../emulator/growth.h"
 #include "../emulator/seeded_day.h"
 #include "app.h"
 #include "emulate_experiment.h"
@@ -25,6 +27,10 @@
 DEFINE_bool(closes_domains,
             false,
             "with --days or --replay: failure domains are closed and opened");
+DEFINE_bool(chooses_entries,
+            false,
+            "with --days or --replay: sidecars have streams to two of five "
+            "entries");
 DEFINE_bool(late_words,
             false,
             "with --days or --replay: announcements of past lives come late, "
@@ -46,6 +52,11 @@
 DEFINE_uint64(replay, 0, "play the day of this seed, and print what happens");
 DEFINE_string(admission, "in_time", "useful or in_time");
 DEFINE_string(experiment, "", "play the arms of this file side by side (JSON)");
+DEFINE_bool(growth,
+            false,
+            "print what a process costs in systems of a quarter, a half and all "
+            "of --entries and --workers, and after a loss of all entries");
+DEFINE_bool(all_pairs, false, "with --growth: a stream between all pairs");
 DEFINE_double(late_orders, 0, "share of orders to workers that come late");
 
 namespace cassiaferry {
@@ -68,8 +79,12 @@
 }
 
 day_options DayOf(uint64_t seed) {
-  return {seed, FLAGS_one_way_cuts, FLAGS_workers_keep_ids,
-          FLAGS_closes_domains, FLAGS_late_words};
+  return {seed,
+          FLAGS_one_way_cuts,
+          FLAGS_workers_keep_ids,
+          FLAGS_closes_domains,
+          FLAGS_late_words,
+          FLAGS_chooses_entries};
 }
 
 int PlayDays() {
@@ -198,6 +213,37 @@
   return broken == 0 ? kExitOk : kExitFailed;
 }
 
+// ---- [4] Growth -------------------------------------------------------------
+
+int PlayGrowth() {
+  std::printf(
+      "%8s %8s | %8s %7s %8s %7s %8s %9s %9s | %8s %9s %9s\n", "entries",
+      "sidecars", "streams", "fewest", "streams", "dials", "frames/s",
+      "entry B/s", "far kB/s", "dials", "first ms", "9/10 ms");
+  for (int part : {4, 2, 1}) {
+    world_options options;
+    options.seed = FLAGS_seed;
+    options.entries = FLAGS_entries / part;
+    options.workers = FLAGS_workers / part;
+    options.domains = FLAGS_domains;
+    options.restart_after = Millis(1000);
+    if (FLAGS_all_pairs)
+      options.neighbours.all_up_to = SIZE_MAX;
+    const growth_result r = MeasureGrowth(options);
+    std::printf(
+        "%8d %8d | %8.1f %7zu %8.1f %7.1f %8.2f %9.0f %9.0f | %8.1f %9lld "
+        "%9lld\n",
+        options.entries, options.workers, r.entry_streams,
+        r.fewest_entry_streams, r.sidecar_streams, r.start_dials,
+        r.sidecar_frames_per_s, r.entry_bytes_per_s,
+        r.bytes_between_domains_per_s / 1000, r.loss_dials,
+        static_cast<long long>(ToMillis(r.to_first_stream)),
+        static_cast<long long>(ToMillis(r.to_nine_tenths)));
+    std::fflush(stdout);
+  }
+  return kExitOk;
+}
+
 }  // namespace
 }  // namespace cassiaferry
 
@@ -209,6 +255,8 @@
       "cassiaferry-emulate --days 200 [--seed 1]\nPlays days of faults and "
       "prints the seed of each on which a promise is broken; --replay SEED "
       "prints what happens on it.\n"
+      "cassiaferry-emulate --growth --entries 183 --workers 804 --domains 6\n"
+      "Prints what a process costs, by the size of the system.\n"
       "cassiaferry-emulate --bound [--load 1.2]\nPlays load against the most "
       "that any schedule could earn, and splits what is lost by cause.\n"
       "cassiaferry-emulate --experiment examples/overload.json\nPlays arms "
@@ -216,6 +264,8 @@
       &argc, &argv);
   if (!FLAGS_experiment.empty())
     return PlayExperiment(FLAGS_experiment);
+  if (FLAGS_growth)
+    return PlayGrowth();
   if (FLAGS_replay != 0)
     return Replay();
   if (FLAGS_days != 0)
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -22,6 +22,7 @@
 #include "../net/link_server.h"
 #include "../net/platform_client.h"
 #include "../net/row_watch.h"
+#include "cassiaferry/directory.h"
 #include "cassiaferry/entry.h"
 
 namespace cassiaferry {
@@ -69,6 +70,12 @@
   micros last_heard{0};
 };
 
+enum class directory_state : uint8_t {
+  due,       // the row is to be checked, from a given time on
+  checking,  // a call to the store is under way
+  done,      // the row was read, and is as it should be
+};
+
 class entry_app {
  public:
   explicit entry_app(entry_settings settings);
@@ -105,7 +112,10 @@
   void TakeConfigRow(const stored_row& row);
   void TakeOperatorRows(const rows_reply& reply, bool whole);
   void CallStore(const store_call& call);
-  void PublishAddress();
+  void CheckDirectoryRow();
+  void WriteDirectory(const std::string& row);
+  void CheckDirectoryRowAfter(micros delay);
+  void ChangeReach(reach_changed change);
   void LogDecision(const leased_decision& decision);
   void AnswerCaller(ticket_id ticket, http_response response);
   void ActLeased(entry_action& action);
@@ -186,9 +196,10 @@
   micros last_tick_{0};                      // control thread only
   micros next_look_at_callers_{0};           // control thread only
   bool store_connected_ = false;             // control thread only
-  bool address_published_ = false;           // control thread only
-  bool publishing_ = false;                  // control thread only
-  micros next_publish_{0};                   // control thread only
+  // Of this entry's row in the directory; control thread only, as what follows.
+  directory_state directory_state_ = directory_state::due;
+  micros next_directory_check_{0};
+  directory_row directory_row_;
   std::thread background_;
   std::atomic<bool> stopped_{false};
   std::atomic<bool> draining_{false};
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -32,6 +32,7 @@
 // was cut is given up after this and half a second more.
 constexpr int64_t kConfigFeedWaitMs = 1000;
 constexpr micros kPublishRetry = Millis(300);
+constexpr micros kPublishCheck = Millis(10'000);
 constexpr size_t kLeasedBodyBytes = 1 << 20;
 // Between two ticks; an idle process has one each 20 ms.
 constexpr micros kStoodStill = Millis(100);
@@ -68,6 +69,8 @@
       },
       [](ticket_id) {});
   settings_.ready = StartOrDie(*ready_server_, kPrefix);
+  directory_row_.link = settings_.advertise_link;
+  directory_row_.failure_domain = settings_.failure_domain;
   store_ = platform::MakeRowStore(http_client_, settings_.store);
   row_watch_options watch;
   watch.table = platform::kOperatorTable;
@@ -211,27 +214,63 @@
     store_.page(std::get<row_range>(call.what), answer);
 }
 
-// Sidecars find entries by these rows.
-void entry_app::PublishAddress() {
-  publishing_ = true;
+// Sidecars find entries by these rows. A row that is as it should be is not
+// written: each change is read by all sidecars.
+void entry_app::CheckDirectoryRow() {
+  directory_state_ = directory_state::checking;
+  const row_range own{kDirectoryTable, settings_.name, 1, false};
+  store_.page(own, [this](const rows_reply& reply) {
+    loop_.Call([this, reply] {
+      const std::string row = WriteDirectoryRow(directory_row_);
+      const bool same = reply.status == store_status::ok &&
+                        !reply.rows.empty() &&
+                        reply.rows.front().key == settings_.name &&
+                        reply.rows.front().value == row;
+      if (reply.status != store_status::ok)
+        CheckDirectoryRowAfter(kPublishRetry);
+      else if (same)
+        directory_state_ = directory_state::done;
+      else
+        WriteDirectory(row);
+    });
+  });
+}
+
+// Failure guarded against: an earlier write without an answer is carried out
+// seconds later, over a newer one. So the row is checked once more.
+void entry_app::WriteDirectory(const std::string& row) {
   row_transaction put;
-  put.sets.push_back({kDirectoryTable, settings_.name,
-                      WriteDirectoryRow(settings_.advertise_link)});
-  store_.transact(put, [this](const rows_reply& reply) {
-    loop_.Call([this, ok = reply.status == store_status::ok] {
-      publishing_ = false;
-      address_published_ = ok;
-      next_publish_ = Now() + kPublishRetry;
+  put.sets.push_back({kDirectoryTable, settings_.name, row});
+  store_.transact(put, [this, row](const rows_reply& reply) {
+    loop_.Call([this, row, ok = reply.status == store_status::ok] {
+      const bool newest = row == WriteDirectoryRow(directory_row_);
+      CheckDirectoryRowAfter(!ok      ? kPublishRetry
+                             : newest ? kPublishCheck
+                                      : micros{0});
     });
   });
 }
 
+void entry_app::CheckDirectoryRowAfter(micros delay) {
+  directory_state_ = directory_state::due;
+  next_directory_check_ = Now() + delay;
+}
+
+void entry_app::ChangeReach(reach_changed change) {
+  directory_row_.reach = change.reach;
+  directory_row_.labels = std::move(change.labels);
+  // What is under way may write the row as it was.
+  if (directory_state_ == directory_state::checking)
+    return;
+  CheckDirectoryRowAfter(micros{0});
+}
+
 void entry_app::TickLeased() {
   const micros now = Now();
   RecordLoopWait(state_.leased.late, loop_.Waited());
   config_watch_->Tick(now);
-  if (!address_published_ && !publishing_ && now >= next_publish_)
-    PublishAddress();
+  if (directory_state_ == directory_state::due && now >= next_directory_check_)
+    CheckDirectoryRow();
   const bool connected =
       config_watch_->IsLoaded() && config_watch_->IsConnected();
   if (connected != store_connected_)
@@ -301,6 +340,8 @@
       AnswerDurable(*state);
   } else if (auto* call = std::get_if<store_call>(&action)) {
     CallStore(*call);
+  } else if (auto* reach = std::get_if<reach_changed>(&action)) {
+    ChangeReach(std::move(*reach));
   } else if (auto* decision = std::get_if<leased_decision>(&action)) {
     LogDecision(*decision);
   }
--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -21,7 +21,6 @@
 namespace cassiaferry {
 namespace {
 
-
 const std::vector<field_rule> kRules = {
     {"name", field_kind::text, 1, 128, true},
     {"failure_domain", field_kind::text, 1, 128, true},
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -66,6 +66,7 @@
 // To the one worker, on kept connections: a look, and orders beside it.
 constexpr long kWorkerConnections = 6;
 constexpr int64_t kDirectoryFeedWaitMs = 10'000;
+constexpr micros kDirectoryGather = Millis(200);
 
 void ReadLeaseOptions(const json& settings, sidecar_options& o) {
   if (!settings.contains("worker"))
@@ -129,7 +130,7 @@
   bool TakeAnnouncement(const http_request& request);
   void CallWorker(const lease_manager_action& action);
   void WatchDirectory(const std::string& store);
-  void TakeDirectoryRow(const stored_row& row);
+  void TakeDirectoryRows(const rows_reply& reply);
 
   sidecar_state state_;
   control_loop<sidecar_event> loop_;
@@ -252,6 +253,9 @@
     for (const entry_link& link : state_.links)
       entries.push_back({{"address", link.address},
                          {"up", link.state == link_state::up},
+                         {"neighbour", link.is_neighbour},
+                         {"failure_domain", link.row.failure_domain},
+                         {"reach", link.row.reach},
                          {"epoch", link.epoch.value}});
     const json status = {
         {"name", state_.options.name},
@@ -276,6 +280,7 @@
     state_.metrics.bytes_sent = links_.BytesSent();
     std::string text = PrometheusText(state_.metrics, {});
     text += ClosedDomainsPrometheusText(state_.closed_domains);
+    text += NeighboursPrometheusText(state_);
     if (state_.options.manages_leases)
       text += LeaseManagerPrometheusText(state_.lease_manager, Now());
     Reply(ticket, 200, text, "text/plain; version=0.0.4");
@@ -373,28 +378,31 @@
       [this](lease_manager_event e) { loop_.Post(std::move(e)); });
 }
 
-void sidecar_app::TakeDirectoryRow(const stored_row& row) {
-  if (row.deleted)
-    return;
-  const std::optional<std::string> link = ReadDirectoryRow(row.value);
-  if (link)
-    loop_.Post(entries_found{{*link}});
-  else
-    LogEvent("sidecar", "entry's row unreadable",
-             {{"key", row.key}, {"version", row.version}});
+void sidecar_app::TakeDirectoryRows(const rows_reply& reply) {
+  entries_found found;
+  for (const stored_row& row : reply.rows) {
+    if (row.deleted)
+      continue;
+    std::optional<directory_row> entry = ReadDirectoryRow(row.value);
+    if (entry)
+      found.rows.push_back(std::move(*entry));
+    else
+      LogEvent("sidecar", "entry's row unreadable",
+               {{"key", row.key}, {"version", row.version}});
+  }
+  if (!found.rows.empty())
+    loop_.Post(std::move(found));
 }
 
 void sidecar_app::WatchDirectory(const std::string& store) {
   row_watch_options options;
   options.table = kDirectoryTable;
   options.feed_wait_ms = kDirectoryFeedWaitMs;
+  options.gather = kDirectoryGather;
   directory_ = std::make_unique<row_watch>(
       platform::MakeRowStore(http_, store), options,
       [this](std::function<void()> f) { loop_.Call(std::move(f)); },
-      [this](const rows_reply& reply, bool) {
-        for (const stored_row& row : reply.rows)
-          TakeDirectoryRow(row);
-      });
+      [this](const rows_reply& reply, bool) { TakeDirectoryRows(reply); });
 }
 
 void sidecar_app::Act(sidecar_action& action) {
--- a/src/core/directory.cc
+++ b/src/core/directory.cc
@@ -2,6 +2,7 @@
 
 #include "cassiaferry/directory.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "cassiaferry/json_fields.h"
@@ -24,16 +25,31 @@
 
 }  // namespace
 
-std::string WriteDirectoryRow(const std::string& link) {
-  return nlohmann::json{{"link", link}}.dump();
+std::string WriteDirectoryRow(const directory_row& row) {
+  return nlohmann::json{{"link", row.link},
+                        {"failure_domain", row.failure_domain},
+                        {"reach", row.reach},
+                        {"labels", row.labels}}
+      .dump();
 }
 
-std::optional<std::string> ReadDirectoryRow(const std::string& row) {
-  const nlohmann::json j = nlohmann::json::parse(row, nullptr, false);
-  std::string link = TextField(j, "link");
-  if (!IsAddress(link))
+std::optional<directory_row> ReadDirectoryRow(const std::string& text) {
+  const nlohmann::json j = nlohmann::json::parse(text, nullptr, false);
+  directory_row row;
+  row.link = TextField(j, "link");
+  if (!IsAddress(row.link))
     return std::nullopt;
-  return link;
+  row.failure_domain = TextField(j, "failure_domain");
+  row.reach =
+      std::clamp(NumberField(j, "reach", uint32_t{1}), uint32_t{1}, kMaxReach);
+  const nlohmann::json* labels = FindField(j, "labels");
+  if (labels == nullptr || !labels->is_array())
+    return row;
+  for (const nlohmann::json& label : *labels) {
+    if (label.is_string() && row.labels.size() < kMaxWantedLabels)
+      row.labels.push_back(label);
+  }
+  return row;
 }
 
 }  // namespace cassiaferry
--- a/src/core/entry.cc
+++ b/src/core/entry.cc
@@ -138,6 +138,7 @@
   TickClaims(s.claims, now, s.wall_ms);
   Dispatch(s, now);
   TickLeasedJobs(s, now);
+  TickReach(s, now);
   NotifyBacklogs(s, now);
   const bool announced_before = s.drain_announced;
   CheckDrained(s, now);
@@ -178,6 +179,7 @@
           {"unresolved", w.unresolved.size()},
           {"ejected", w.health.ejected_until > now},
           {"closed", w.closed},
+          {"released", w.is_released},
           {"closed_domains_version", w.closed_version.value},
           {"speed", w.health.speed},
           {"config_version", w.version.value}};
@@ -224,6 +226,7 @@
       {"closed_domains", s.closed_domains.known.domains},
       {"closed_domains_version", s.closed_domains.known.version.value},
       {"peers", s.peers},
+      {"reach", s.reach.reach},
       {"jobs", s.jobs.size()},
       {"waiting_tasks", s.waiting_tasks},
       {"sent_tasks", s.sent_tasks},
--- a/src/core/entry_health.cc
+++ b/src/core/entry_health.cc
@@ -136,7 +136,7 @@
 
 bool AcceptsTasks(const worker_row& worker, micros now) {
   return worker.state == worker_link::up && !worker.closed &&
-         worker.load.state == upstream_state::ready &&
+         worker.load.state == upstream_state::ready && !worker.is_released &&
          worker.health.ejected_until <= now;
 }
 
--- a/src/core/entry_links.cc
+++ b/src/core/entry_links.cc
@@ -323,6 +323,8 @@
   w.last_received = now;
   w.version = std::max(w.version, frame.version);
   w.wants_config = w.wants_config || frame.wants_config;
+  w.chooses_entries = frame.chooses_entries;
+  w.is_released = frame.release;
   w.closed_version = std::max(w.closed_version, frame.closed_version);
   if (frame.config)
     AdoptConfig(s, *frame.config);
@@ -422,6 +424,13 @@
                                    : s.options.timing.heartbeat;
 }
 
+// Whether nothing is open at a worker whose stream is to be given back.
+bool CanGiveBack(const entry_state& s, worker_id id) {
+  const worker_row& w = s.workers[id.value];
+  return w.is_released && w.state == worker_link::up && w.unresolved.empty() &&
+         w.reserved == 0 && !LeasesActive(s, id);
+}
+
 }  // namespace
 
 // Failures guarded against: a stream that is open but silent in one direction
@@ -435,7 +444,8 @@
     worker_row& w = s.workers[i];
     RecordActivity(s, now, id);
     if (w.state != worker_link::down &&
-        (IsSilent(s, now, w) || StartsUnconfirmed(s, now, id)))
+        (IsSilent(s, now, w) || StartsUnconfirmed(s, now, id) ||
+         CanGiveBack(s, id)))
       DisconnectWorker(s, now, id, true);
     if (w.state == worker_link::down && !w.unresolved.empty() &&
         now - w.lost_since > s.options.lost_grace)
--- a/src/core/entry_systems.h
+++ b/src/core/entry_systems.h
@@ -19,6 +19,13 @@
 
 // ---- [1] Jobs (entry_jobs.cc) -----------------------------------------------
 
+// Asks for more workers while those that have streams here don't suffice, and
+// refuses jobs that no worker at all can hold.
+void TickReach(entry_state& s, micros now);
+// Whether workers that have no stream here may still be reached.
+bool MayReachMore(const entry_state& s, micros now);
+failure NeverRunnable();
+
 // When a job arrived, from which its caller's deadline counts. Failure guarded
 // against: this process stood still, or is short of processor time, while the
 // request waited in its socket. Counted from its reading, the deadline would
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -283,6 +283,8 @@
   return !steps.empty();
 }
 
+}  // namespace
+
 // Whether some known worker of the upstream could hold a task of each step; if
 // not, the job is refused at once. While no worker is known the job waits,
 // because the first announcement may be a second away.
@@ -307,6 +309,8 @@
   return true;
 }
 
+namespace {
+
 // Whether a stopping entry still accepts a job from an open connection: a job
 // that is done in time must be done before the entry closes.
 bool FitsBeforeStop(const entry_state& s, const leased_job& job) {
@@ -343,6 +347,35 @@
 
 }  // namespace
 
+failure NeverRunnable() {
+  return {verdict::not_run, reason::never_runnable,
+          "a task needs more than any worker has", 0};
+}
+
+namespace {
+
+// Handles a job that no worker known here can hold. While more workers can be
+// reached the job waits for them, unless it is durable: that one would be
+// accepted before it is known whether it can ever run.
+bool RefusesUnfit(entry_state& s,
+                  micros now,
+                  ticket_id ticket,
+                  const leased_job_request& r) {
+  constexpr int64_t kAskAgainMs = 2000;
+  if (!MayReachMore(s, now)) {
+    RefuseTicket(s, ticket, r.id, NeverRunnable());
+    return true;
+  }
+  s.reach.unfit_at = now;
+  if (r.durable)
+    RefuseTicket(s, ticket, r.id,
+                 {verdict::not_run, reason::queue_full,
+                  "no worker known yet has what a task needs", kAskAgainMs});
+  return r.durable;
+}
+
+}  // namespace
+
 void SubmitLeasedJob(entry_state& s, micros now, leased_job_submitted event) {
   leased_state& l = s.leased;
   ++l.counters.jobs_received;
@@ -376,12 +409,8 @@
                   "each step must come after the steps it waits for", 0});
     return;
   }
-  if (!CanEverRun(s, *queue, r.steps)) {
-    RefuseTicket(s, event.ticket, r.id,
-                 {verdict::not_run, reason::never_runnable,
-                  "a task needs more than any worker has", 0});
+  if (!CanEverRun(s, *queue, r.steps) && RefusesUnfit(s, now, event.ticket, r))
     return;
-  }
   leased_job job = BuildJob(l, now, event, *queue);
   if (RefusesNewWork(s, job)) {
     RefuseTicket(s, event.ticket, job.id,
--- a/src/core/leased_workers.cc
+++ b/src/core/leased_workers.cc
@@ -364,7 +364,8 @@
   w.report_received_at = now;
   RecordFrameDelay(s.leased.late,
                    DelayAboveMin(w.offset, now, now.value - reports.stamp));
-  w.takes_work = reports.accepts_work && !s.workers[id.value].closed;
+  w.takes_work = reports.accepts_work && !s.workers[id.value].closed &&
+                 !s.workers[id.value].is_released;
   w.free = reports.free;
   w.pace = reports.pace / 1000.0;
   if (!IsUnhealthy(s, w))
--- a/src/core/sidecar.cc
+++ b/src/core/sidecar.cc
@@ -252,20 +252,6 @@
   return reply;
 }
 
-entry_id AddEntryAddress(sidecar_state& s,
-                         const std::string& address,
-                         bool is_seed) {
-  for (size_t i = 0; i < s.links.size(); ++i) {
-    if (s.links[i].address == address)
-      return entry_id{static_cast<uint32_t>(i)};
-  }
-  entry_link link;
-  link.address = address;
-  link.is_seed = is_seed;
-  s.links.push_back(std::move(link));
-  return entry_id{static_cast<uint32_t>(s.links.size() - 1)};
-}
-
 void CloseLink(sidecar_state& s, micros now, entry_id id, bool hangs_up) {
   entry_link& link = s.links[id.value];
   if (hangs_up)
@@ -287,9 +273,16 @@
   link.state = link_state::idle;
   link.outbox = {};
   link.must_send = false;
-  link.next_dial = now + s.options.redial;
+  s.choice_due = true;
+  // A stream that was given back did not fail.
+  if (!link.is_neighbour) {
+    link.is_released = false;
+    return;
+  }
+  ++link.failed_dials;
   if (link.first_failed.value == 0)
     link.first_failed = now;
+  link.next_dial = NextDial(s, now);
 }
 
 void HandleHello(sidecar_state& s,
@@ -320,6 +313,7 @@
   link.entry = hello.entry;
   link.state = link_state::up;
   link.first_failed = micros{0};
+  link.failed_dials = 0;
   link.outbox.reconcile = Reconcile(s, hello.entry, entry, hello);
   link.must_send = true;
   s.metrics.CountSent(record_kind::reconcile, hello.unresolved.size());
@@ -460,6 +454,7 @@
   link.last_sent = now;
   link.reported_upstream = {};
   link.outbox = {};
+  ++s.dials;
   s.actions.push_back(dial_entry{id, link.address, link.epoch});
   sidecar_frame frame;
   frame.epoch = link.epoch;
@@ -469,15 +464,6 @@
   s.actions.push_back(send_to_entry{id, std::move(frame)});
 }
 
-// Whether dials to this address have failed for so long that it is not dialled
-// any more; seeds always are. A replaced entry never returns to its old
-// address, and dialling it for ever would cost one connection attempt after
-// another.
-bool IsGone(const entry_link& link, micros now) {
-  return !link.is_seed && link.first_failed.value != 0 &&
-         now - link.first_failed > Millis(60'000);
-}
-
 // Whether the entry has runs or results here, so that its stream needs the
 // short timeouts.
 bool IsActive(const sidecar_state& s, const entry_link& link) {
@@ -497,18 +483,23 @@
     entry_link& link = s.links[i];
     const link_timing& timing = s.options.timing;
     const bool idle = link.state == link_state::up && !IsActive(s, link);
-    const micros silence =
-        idle ? timing.idle_silence_timeout : timing.silence_timeout;
+    const micros silence = link.state == link_state::dialing
+                               ? DialTimeout(s, link)
+                           : idle ? timing.idle_silence_timeout
+                                  : timing.silence_timeout;
     // Failure guarded against: an entry without runs here receives few reports
     // on this worker, takes it for free, and is refused. So larger changes are
     // reported at the usual rate.
     const bool quiet =
         idle && !HasUnreportedChange(s.lease_manager, link.entry);
     const micros heartbeat = quiet ? timing.idle_heartbeat : timing.heartbeat;
-    if (link.state != link_state::idle && now - link.last_received_at > silence)
+    const bool unwanted =
+        link.state == link_state::dialing && !link.is_neighbour;
+    if (unwanted || (link.state != link_state::idle &&
+                     now - link.last_received_at > silence))
       CloseLink(s, now, id, true);
-    if (link.state == link_state::idle && now >= link.next_dial &&
-        !IsGone(link, now))
+    if (link.state == link_state::idle && link.is_neighbour &&
+        now >= link.next_dial && !IsGone(link, now))
       Dial(s, now, id);
     if (link.state == link_state::up && now - link.last_sent >= heartbeat &&
         !link.must_send) {
@@ -587,6 +578,8 @@
     frame.load.free_slots = AcceptsWork(s) ? FreeSlots(s) : 0;
     frame.load.queued = static_cast<uint32_t>(s.queue.size());
     frame.load.starts_seen = entry.starts_seen;
+    frame.chooses_entries = s.chooses_entries;
+    frame.release = link.is_released;
     if (s.options.manages_leases)
       frame.reports = ReportFor(s.lease_manager, now, link.entry);
     link.last_sent = now;
@@ -611,7 +604,8 @@
 known_entry* FirstBacklog(sidecar_state& s) {
   known_entry* best = nullptr;
   for (auto& [name, entry] : s.entries) {
-    if (!entry.linked || entry.backlog == kNoBacklog)
+    if (!entry.linked || entry.backlog == kNoBacklog ||
+        s.links[entry.link.value].is_released)
       continue;
     if (best == nullptr || entry.backlog < best->backlog)
       best = &entry;
@@ -719,8 +713,8 @@
     RejectQueuedTasks(s);
   }
   void operator()(entries_found& e) {
-    for (const std::string& address : e.addresses)
-      AddEntryAddress(s, address, false);
+    for (const directory_row& row : e.rows)
+      UpdateDirectoryRow(s, row);
   }
   void operator()(lease_manager_event& e) {
     HandleLeaseManagerEvent(s.lease_manager, now, std::move(e));
@@ -784,10 +778,10 @@
 sidecar_state MakeSidecar(sidecar_options options) {
   sidecar_state s;
   s.random.seed(options.seed);
-  for (const std::string& address : options.seeds)
-    AddEntryAddress(s, address, true);
   s.lease_manager = MakeLeaseManager(options.lease_manager);
   s.options = std::move(options);
+  for (const std::string& address : s.options.seeds)
+    AddEntryAddress(s, address, true);
   return s;
 }
 
@@ -802,6 +796,7 @@
   RejectQueuedIfClosed(s);
   ExpireQueued(s, now);
   ExpireOffers(s, now);
+  TickNeighbours(s, now);
   CheckLinks(s, now);
   RequestConfig(s, now);
   RelayOperatorState(s, now);
--- a/src/core/sidecar_systems.h
+++ b/src/core/sidecar_systems.h
@@ -7,6 +7,28 @@
 
 namespace cassiaferry {
 
+// ---- Neighbours (sidecar_neighbours.cc) -------------------------------------
+
+// The entry at this address; new ones are added.
+entry_id AddEntryAddress(sidecar_state& s,
+                         const std::string& address,
+                         bool is_seed);
+void UpdateDirectoryRow(sidecar_state& s, const directory_row& row);
+// Chooses the neighbours anew when it is time, and asks entries that have not
+// been neighbours for a while to close their streams.
+void TickNeighbours(sidecar_state& s, micros now);
+// When to dial an entry again that was dialled in vain.
+micros NextDial(sidecar_state& s, micros now);
+// How long an entry may take to answer a dial. Failure guarded against: an entry
+// that is short of processor time is dialled again and again while it still
+// answers the first dial, and is then later still.
+micros DialTimeout(const sidecar_state& s, const entry_link& link);
+// Whether dials to this address have failed for so long that it is not dialled
+// any more; seeds always are. A replaced entry never returns to its old
+// address, and dialling it for ever would cost one connection attempt after
+// another.
+bool IsGone(const entry_link& link, micros now);
+
 // ---- Configuration and closed domains (sidecar_config.cc) -------------------
 
 // Records the versions that a frame from the entry on this link reports, and
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -58,6 +58,11 @@
   workers.resize(static_cast<size_t>(options.workers));
   entries.resize(static_cast<size_t>(options.entries));
   sidecars.resize(static_cast<size_t>(options.workers));
+  dials.resize(sidecars.size());
+  frames.resize(sidecars.size());
+  for (int i = 0; i < options.entries; ++i)
+    directory_.push_back(
+        {EntryAddress(i), std::to_string(i % options.domains), 1, {}});
   for (int i = 0; i < options.entries; ++i)
     StartEntry(i);
   for (int i = 0; i < options.workers; ++i) {
@@ -136,6 +141,7 @@
     o.leased.link.configured_rate =
         static_cast<double>(options.entry_link_bytes_per_s);
   o.timing = TimingFor(options.bounds);
+  o.reach = options.reach;
   e.core = std::make_unique<entry_state>(MakeEntry(o));
   e.inbox.clear();
   e.waits_since = {};
@@ -164,8 +170,10 @@
   o.lease_manager.first_fence = static_cast<uint64_t>(ToMillis(now)) + s.lives;
   o.timing = TimingFor(options.bounds);
   o.redial = Millis(100);
+  o.neighbours = options.neighbours;
   s.core = std::make_unique<sidecar_state>(MakeSidecar(o));
   s.inbox.clear();
+  s.inbox.emplace_back(entries_found{directory_});
   s.tick_due = false;
   TickWhenIdle(s, [this, sidecar] { WakeSidecar(sidecar); });
   SendLateWord(sidecar);
@@ -273,19 +281,21 @@
 // ---- [3] Streams ------------------------------------------------------------
 
 std::shared_ptr<emulated_stream> world::StreamOf(int sidecar, entry_id link) {
-  for (auto it = streams_.rbegin(); it != streams_.rend(); ++it) {
-    if ((*it)->sidecar == sidecar && (*it)->link == link)
-      return *it;
-  }
-  return nullptr;
+  const auto newest = newest_streams_.find({sidecar, link.value});
+  return newest == newest_streams_.end() ? nullptr : newest->second;
 }
 
 std::shared_ptr<emulated_stream> world::StreamOf(int entry, link_id accepted) {
-  for (const auto& stream : streams_) {
-    if (stream->entry == entry && stream->accepted == accepted)
-      return stream;
-  }
-  return nullptr;
+  const auto stream = accepted_streams_.find(accepted);
+  return stream == accepted_streams_.end() || stream->second->entry != entry
+             ? nullptr
+             : stream->second;
+}
+
+void world::RemoveClosedStreams() {
+  std::erase_if(streams_, [](const auto& stream) { return !stream->open; });
+  std::erase_if(accepted_streams_,
+                [](const auto& row) { return !row.second->open; });
 }
 
 micros world::Transmit(emulated_link& link, size_t bytes) {
@@ -315,6 +325,8 @@
                   size_t bytes,
                   action deliver) {
   const micros sent = Transmit(link, bytes);
+  if (stream->entry % options.domains != stream->sidecar % options.domains)
+    bytes_between_domains += bytes;
   const bool is_out = &link == &entries[static_cast<size_t>(stream->entry)].out;
   const cut_table& cuts = is_out ? cut_to_sidecar_ : cut_to_entry_;
   const auto cut = cuts.find({stream->entry, stream->sidecar});
@@ -332,7 +344,13 @@
   const int entry = EntryOfAddress(dial.address);
   emulated_entry& e = entries[static_cast<size_t>(entry)];
   emulated_sidecar& s = sidecars[static_cast<size_t>(sidecar)];
-  std::erase_if(streams_, [](const auto& stream) { return !stream->open; });
+  ++dials[static_cast<size_t>(sidecar)];
+  // Now and then only: of a hundred thousand streams, each removal looks at
+  // all.
+  if (++streams_closed_ > streams_.size() / 4) {
+    streams_closed_ = 0;
+    RemoveClosedStreams();
+  }
   if (const auto older = StreamOf(sidecar, dial.link))
     older->open = false;
   if (e.state == process_state::down) {
@@ -349,6 +367,8 @@
   stream->epoch = dial.epoch;
   stream->accepted = link_id{next_link_++};
   streams_.push_back(stream);
+  newest_streams_[{sidecar, dial.link.value}] = stream;
+  accepted_streams_[stream->accepted] = stream;
 }
 
 void world::CloseStream(const std::shared_ptr<emulated_stream>& stream) {
@@ -386,6 +406,8 @@
   } else if (const auto* d = std::get_if<leased_decision>(&a)) {
     Log(EntryAddress(entry),
         std::string(d->what) + " " + d->job + ", " + d->detail);
+  } else if (const auto* reach = std::get_if<reach_changed>(&a)) {
+    TakeReach(entry, *reach);
   } else if (const auto* call = std::get_if<store_call>(&a)) {
     CallStore(entry, *call);
   } else if (const auto* state = std::get_if<answer_leased_state>(&a)) {
@@ -411,6 +433,7 @@
     if (!stream || !stream->open || stream->epoch != send->frame.epoch)
       return;
     const size_t bytes = FrameBytes(send->frame);
+    ++frames[static_cast<size_t>(sidecar)];
     emulated_link& link = entries[static_cast<size_t>(stream->entry)].in;
     Carry(stream, link, bytes, [this, stream, frame = std::move(send->frame)] {
       entries[static_cast<size_t>(stream->entry)].inbox.emplace_back(
@@ -422,6 +445,20 @@
   }
 }
 
+void world::TakeReach(int entry, const reach_changed& change) {
+  directory_row& row = directory_[static_cast<size_t>(entry)];
+  row.reach = change.reach;
+  row.labels = change.labels;
+  At(now + options.directory_delay, [this, row] {
+    for (size_t i = 0; i < sidecars.size(); ++i) {
+      if (sidecars[i].state == process_state::down)
+        continue;
+      sidecars[i].inbox.emplace_back(entries_found{{row}});
+      WakeSidecar(static_cast<int>(i));
+    }
+  });
+}
+
 // ---- [4] Faults -------------------------------------------------------------
 
 void world::KillEntry(int entry) {
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -86,6 +86,9 @@
   micros drain_within = Millis(2000);   // nor on a worker that leaves
   micros close_within = Millis(2000);   // nor in a closed failure domain
   lease_bounds bounds;                  // set from `resend_after` by MakeWorld
+  neighbour_options neighbours;
+  reach_options reach;
+  micros directory_delay = Millis(5);  // from an entry's row to the sidecars
 };
 
 // ---- [2] Workers ------------------------------------------------------------
@@ -293,6 +296,9 @@
   std::vector<int64_t> retry_after_ms;            // told with refusals
   double cpu_used_us =
       0;  // thousandths of a core, over all workers, integrated
+  std::vector<uint64_t> dials;   // by sidecar
+  std::vector<uint64_t> frames;  // sent by each sidecar
+  uint64_t bytes_between_domains = 0;  // of streams
   // The same of the room that there was, slot by slot from time 0: of workers
   // that are up and at work, slow ones by what they get done.
   std::vector<double> room_us;
@@ -335,6 +341,7 @@
   void CloseStream(const std::shared_ptr<emulated_stream>& stream);
   std::shared_ptr<emulated_stream> StreamOf(int sidecar, entry_id link);
   std::shared_ptr<emulated_stream> StreamOf(int entry, link_id accepted);
+  void RemoveClosedStreams();
   bool IsCut(const cut_table& cuts, const emulated_stream& stream) const;
   // Carries a frame over the entry's link, held up while the pair is cut.
   void Carry(const std::shared_ptr<emulated_stream>& stream,
@@ -396,7 +403,14 @@
   uint64_t next_life_ = 1;
   uint64_t next_link_ = 1;
   uint64_t next_ticket_ = 1;
+  void TakeReach(int entry, const reach_changed& change);
+
   std::vector<std::shared_ptr<emulated_stream>> streams_;
+  size_t streams_closed_ = 0;  // of these, since closed ones were last removed
+  std::map<std::pair<int, uint32_t>, std::shared_ptr<emulated_stream>>
+      newest_streams_;  // by sidecar and its link
+  std::map<link_id, std::shared_ptr<emulated_stream>> accepted_streams_;
+  std::vector<directory_row> directory_;  // by entry
   cut_table cut_to_sidecar_;
   cut_table cut_to_entry_;
   std::map<std::pair<int, uint64_t>, std::string> tickets_;  // entry, ticket
--- a/src/emulator/seeded_day.cc
+++ b/src/emulator/seeded_day.cc
@@ -153,6 +153,21 @@
 
 // ---- [3] The day ------------------------------------------------------------
 
+namespace {
+
+void ChooseFewEntries(world_options& options) {
+  options.entries = 5;
+  options.workers = 6;
+  options.domains = kClosingDomains;
+  options.neighbours.all_up_to = 1;
+  options.neighbours.near = 1;
+  options.neighbours.far = 1;
+  options.neighbours.release_after = Millis(400);
+  options.reach.few_workers = 1;
+}
+
+}  // namespace
+
 day_report PlaySeededDay(const day_options& day,
                          const std::function<void(const std::string&)>& log) {
   world_options options;
@@ -162,6 +177,8 @@
   options.workers_keep_ids = day.workers_keep_ids;
   options.late_words = day.late_words;
   options.domains = day.closes_domains ? kClosingDomains : options.domains;
+  if (day.chooses_entries)
+    ChooseFewEntries(options);
   world w(options);
   w.log = log;
   std::minstd_rand draw(static_cast<uint32_t>(day.seed) + 1);
--- a/src/emulator/seeded_day.h
+++ b/src/emulator/seeded_day.h
@@ -31,6 +31,8 @@
   bool closes_domains = false;
   // Announcements of past lives come late, and workers go on after a goodbye.
   bool late_words = false;
+  // Sidecars have streams to two of five entries, and give them back.
+  bool chooses_entries = false;
 };
 
 // One fault, for about `time`, of an entry, a sidecar, a worker or the link
--- a/src/net/codec.cc
+++ b/src/net/codec.cc
@@ -441,6 +441,8 @@
     Write(*frame.config, out.mutable_config());
   if (frame.reports)
     Write(*frame.reports, out.mutable_reports());
+  out.set_chooses_entries(frame.chooses_entries);
+  out.set_release(frame.release);
   return out;
 }
 
@@ -479,6 +481,8 @@
     f.config = Read(frame.config());
   if (frame.has_reports())
     f.reports = Read(frame.reports());
+  f.chooses_entries = frame.chooses_entries();
+  f.release = frame.release();
   return f;
 }
 
--- a/src/net/row_watch.cc
+++ b/src/net/row_watch.cc
@@ -71,6 +71,8 @@
   must_read_ = false;
   loaded_ = loaded_ || whole;
   version_ = std::max(version_, reply.version);
+  if (!whole && !reply.rows.empty())
+    next_call_ = now_ + options_.gather;
   if (whole || !reply.rows.empty())
     on_rows_(reply, whole);
 }
--- a/src/net/row_watch.h
+++ b/src/net/row_watch.h
@@ -28,6 +28,9 @@
   // Between whole reads. Failure guarded against: a feed that hears nothing,
   // while changes are made, and says so to nobody.
   micros reread = Millis(30'000);
+  // After changes the next ones are gathered for this long, so that many in
+  // quick succession come in few answers.
+  micros gather{0};
   micros backoff = Millis(100);       // after a failed call, ...
   micros backoff_most = Millis(500);  // ... doubled up to this
 };
