--- a/include/cassiaferry/neighbours.h
+++ b/include/cassiaferry/neighbours.h
@@ -50,7 +50,7 @@
 struct neighbour_candidate {
   uint64_t rank = 0;      // lower comes first
   bool near = false;      // in the sidecar's failure domain
-  bool reachable = true;  // its stream is up, or the last dial did not fail
+  bool reachable = true;  // has not been out of reach for long
   bool required = false;  // a neighbour whatever its rank
   uint32_t reach = 1;     // multiple of the usual streams that it asks for
 };
--- a/src/apps/emulate_main.cc
+++ b/src/apps/emulate_main.cc
@@ -12,8 +12,8 @@
 
 #include <cstdio>
 
-#include "../emulator/load_play.h"
 #include "../emulator/growth.h"
+#include "../emulator/load_play.h"
 #include "../emulator/seeded_day.h"
 #include "app.h"
 #include "emulate_experiment.h"
@@ -52,10 +52,11 @@
 DEFINE_uint64(replay, 0, "play the day of this seed, and print what happens");
 DEFINE_string(admission, "in_time", "useful or in_time");
 DEFINE_string(experiment, "", "play the arms of this file side by side (JSON)");
-DEFINE_bool(growth,
-            false,
-            "print what a process costs in systems of a quarter, a half and all "
-            "of --entries and --workers, and after a loss of all entries");
+DEFINE_bool(
+    growth,
+    false,
+    "print what a process costs in systems of a quarter, a half and all "
+    "of --entries and --workers, and after a loss of all entries");
 DEFINE_bool(all_pairs, false, "with --growth: a stream between all pairs");
 DEFINE_double(late_orders, 0, "share of orders to workers that come late");
 
@@ -216,10 +217,10 @@
 // ---- [4] Growth -------------------------------------------------------------
 
 int PlayGrowth() {
-  std::printf(
-      "%8s %8s | %8s %7s %8s %7s %8s %9s %9s | %8s %9s %9s\n", "entries",
-      "sidecars", "streams", "fewest", "streams", "dials", "frames/s",
-      "entry B/s", "far kB/s", "dials", "first ms", "9/10 ms");
+  std::printf("%8s %8s | %8s %7s %8s %7s %8s %9s %9s | %8s %9s %9s\n",
+              "entries", "sidecars", "streams", "fewest", "streams", "dials",
+              "frames/s", "entry B/s", "far kB/s", "dials", "first ms",
+              "9/10 ms");
   for (int part : {4, 2, 1}) {
     world_options options;
     options.seed = FLAGS_seed;
--- a/src/core/leased_systems.h
+++ b/src/core/leased_systems.h
@@ -33,8 +33,8 @@
 void MakeTasks(leased_job& job, uint32_t first_run);
 void SetBounds(leased_job& job, micros now, double ratio);
 leased_job& AddLeasedJob(leased_state& s, leased_job job);
-// Whether some known worker of the upstream could hold a task of each step; true
-// while none is known.
+// Whether some known worker of the upstream could hold a task of each step;
+// true while none is known.
 bool CanEverRun(const entry_state& s,
                 const queue_config& queue,
                 const std::vector<leased_step>& steps);
--- a/src/core/sidecar_neighbours.cc
+++ b/src/core/sidecar_neighbours.cc
@@ -78,8 +78,13 @@
          !UnclaimedEnds(s.lease_manager, now).empty();
 }
 
-bool IsReachable(const entry_link& link) {
-  return link.state == link_state::up || link.failed_dials == 0;
+// An entry that starts again is back within this; only then another one takes
+// its place.
+constexpr micros kReplaceAfter = Millis(1000);
+
+bool IsReachable(const entry_link& link, micros now) {
+  return link.state == link_state::up || link.first_failed.value == 0 ||
+         now - link.first_failed < kReplaceAfter;
 }
 
 // Without entries that are gone; `indices`: of their links.
@@ -95,7 +100,7 @@
     neighbour_candidate c;
     c.rank = link.rank;
     c.near = link.row.failure_domain == s.options.failure_domain;
-    c.reachable = IsReachable(link);
+    c.reachable = IsReachable(link, now);
     c.required = all || HasOpenWork(s, link) ||
                  WantsLabelOf(link.row, s.lease_manager.worker);
     c.reach = link.row.reach;
--- a/src/core/sidecar_systems.h
+++ b/src/core/sidecar_systems.h
@@ -19,9 +19,9 @@
 void TickNeighbours(sidecar_state& s, micros now);
 // When to dial an entry again that was dialled in vain.
 micros NextDial(sidecar_state& s, micros now);
-// How long an entry may take to answer a dial. Failure guarded against: an entry
-// that is short of processor time is dialled again and again while it still
-// answers the first dial, and is then later still.
+// How long an entry may take to answer a dial. Failure guarded against: an
+// entry that is short of processor time is dialled again and again while it
+// still answers the first dial, and is then later still.
 micros DialTimeout(const sidecar_state& s, const entry_link& link);
 // Whether dials to this address have failed for so long that it is not dialled
 // any more; seeds always are. A replaced entry never returns to its old
--- a/src/emulator/growth.cc
+++ b/src/emulator/growth.cc
@@ -56,8 +56,8 @@
   const uint64_t bytes = EntryBytes(w);
   const uint64_t far_bytes = w.bytes_between_domains;
   w.Pass(micros{static_cast<int64_t>(kIdleSeconds * 1e6)});
-  result.sidecar_frames_per_s = static_cast<double>(Sum(w.frames) - frames) /
-                                sidecars / kIdleSeconds;
+  result.sidecar_frames_per_s =
+      static_cast<double>(Sum(w.frames) - frames) / sidecars / kIdleSeconds;
   result.entry_bytes_per_s =
       static_cast<double>(EntryBytes(w) - bytes) / entries / kIdleSeconds;
   result.bytes_between_domains_per_s =
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -296,8 +296,8 @@
   std::vector<int64_t> retry_after_ms;            // told with refusals
   double cpu_used_us =
       0;  // thousandths of a core, over all workers, integrated
-  std::vector<uint64_t> dials;   // by sidecar
-  std::vector<uint64_t> frames;  // sent by each sidecar
+  std::vector<uint64_t> dials;         // by sidecar
+  std::vector<uint64_t> frames;        // sent by each sidecar
   uint64_t bytes_between_domains = 0;  // of streams
   // The same of the room that there was, slot by slot from time 0: of workers
   // that are up and at work, slow ones by what they get done.
