Directory: whole reads are spaced by the size of the table

Cause: each sidecar reads the whole directory again every 30 s, as a feed may hear nothing and say so to nobody.

Change: a second for each row where that is longer than 30 s, for the directory alone; the operators' table is read as often as before.

Checked: row_watch_unit_test; with the new term taken out, four times the rows cost four times the reading (48,000 rows an hour, bound 13,200).

--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -67,6 +67,7 @@
 constexpr long kWorkerConnections = 6;
 constexpr int64_t kDirectoryFeedWaitMs = 10'000;
 constexpr micros kDirectoryGather = Millis(200);
+constexpr micros kDirectoryRereadPerRow = Millis(1000);
 
 void ReadLeaseOptions(const json& settings, sidecar_options& o) {
   if (!settings.contains("worker"))
@@ -399,6 +400,7 @@
   options.table = kDirectoryTable;
   options.feed_wait_ms = kDirectoryFeedWaitMs;
   options.gather = kDirectoryGather;
+  options.reread_per_row = kDirectoryRereadPerRow;
   directory_ = std::make_unique<row_watch>(
       platform::MakeRowStore(http_, store), options,
       [this](std::function<void()> f) { loop_.Call(std::move(f)); },
--- a/src/net/row_watch.cc
+++ b/src/net/row_watch.cc
@@ -28,7 +28,10 @@
   if (open_ || now < next_call_)
     return;
   open_ = true;
-  if (must_read_ || now - last_read_ > options_.reread)
+  const micros reread = std::max(
+      options_.reread,
+      micros{options_.reread_per_row.value * static_cast<int64_t>(rows_)});
+  if (must_read_ || now - last_read_ > reread)
     Read();
   else
     Follow();
@@ -70,6 +73,8 @@
   failures_ = 0;
   must_read_ = false;
   loaded_ = loaded_ || whole;
+  if (whole)
+    rows_ = reply.rows.size();
   version_ = std::max(version_, reply.version);
   if (!whole && !reply.rows.empty())
     next_call_ = now_ + options_.gather;
--- a/src/net/row_watch.h
+++ b/src/net/row_watch.h
@@ -28,6 +28,9 @@
   // Between whole reads. Failure guarded against: a feed that hears nothing,
   // while changes are made, and says so to nobody.
   micros reread = Millis(30'000);
+  // Longer for large tables, by this for each row, so that what a reader reads
+  // in a time does not grow with the table.
+  micros reread_per_row{0};
   // After changes the next ones are gathered for this long, so that many in
   // quick succession come in few answers.
   micros gather{0};
@@ -70,6 +73,7 @@
   micros now_{0};
   micros next_call_{0};
   micros last_read_{0};
+  size_t rows_{0};               // of the newest whole read
   std::shared_ptr<bool> alive_;  // answers after the end are dropped
 };
 
