Reach: an entry that has asked for all workers knows the largest of them

Cause, found by reading: an entry asks for all workers when a job comes that none known to it can hold, and gives them back 30 s after the need. A caller that sends a job which fits nowhere to each entry every half minute would keep a stream between all pairs.

Change: once all were asked for, such a job is refused at once for five minutes, and nothing is asked for.

Checked: task_fits_nobody_again_refused_at_once; with that time cut to one second the second job waits again, and the test fails.

--- a/include/cassiaferry/reach.h
+++ b/include/cassiaferry/reach.h
@@ -29,13 +29,14 @@
   uint32_t reach = 1;       // multiple of the usual streams, as last published
   // Labels asked for, and when a job last needed each.
   std::map<std::string, micros> labels;
-  micros few_since{0};    // since when there have been few workers; 0: not few
-  uint32_t least = 1;     // with less there were few workers
-  micros unfit_at{0};     // when a job came that no known worker can hold
-  micros checked_at{0};   // when the need was last looked at
-  micros changed_at{0};   // when the reach was last changed
-  micros next_change{0};  // the reach does not grow before
-  micros needed_at{0};    // when this reach was last needed
+  micros few_since{0};     // since when there have been few workers; 0: not few
+  uint32_t least = 1;      // with less there were few workers
+  micros unfit_at{0};      // when a job came that no known worker can hold
+  micros checked_at{0};    // when the need was last looked at
+  micros changed_at{0};    // when the reach was last changed
+  micros next_change{0};   // the reach does not grow before
+  micros needed_at{0};     // when this reach was last needed
+  micros all_known_at{0};  // when all workers were last known; 0: never
 };
 
 // The row of the directory is to be written with these.
--- a/src/core/entry_reach.cc
+++ b/src/core/entry_reach.cc
@@ -30,6 +30,9 @@
 constexpr micros kFewAfter = Millis(3000);
 // After it asked for all workers, an entry knows the largest of them.
 constexpr micros kAllKnownAfter = Millis(2000);
+// ... and asks for all again after this. Failure guarded against: callers that
+// send jobs which fit nowhere keep a stream between each entry and each worker.
+constexpr micros kAllKnownFor = Millis(300'000);
 
 // ---- [1] Need ---------------------------------------------------------------
 
@@ -57,6 +60,15 @@
   return jobs;
 }
 
+bool KnowsAll(const reach_state& r, micros now) {
+  return r.all_known_at.value != 0 && now - r.all_known_at < kAllKnownFor;
+}
+
+void RecordAllKnown(reach_state& r, micros now) {
+  if (r.reach == kMaxReach && now - r.changed_at >= kAllKnownAfter)
+    r.all_known_at = now;
+}
+
 bool IsFull(const entry_state& s, micros now) {
   return s.leased.wanted_cpu != 0 && now - s.leased.wanted_since > kFullAfter;
 }
@@ -73,7 +85,7 @@
 uint32_t NeededReach(const entry_state& s, micros now) {
   const reach_state& r = s.reach;
   const bool unfit = r.unfit_at.value != 0 && now - r.unfit_at < kAllKnownAfter;
-  if (unfit || !JobsThatNeverFit(s).empty())
+  if (!KnowsAll(r, now) && (unfit || !JobsThatNeverFit(s).empty()))
     return kMaxReach;
   if (r.few_since.value != 0 && now - r.few_since > kFewAfter)
     return std::min(2 * r.reach, kMaxReach);
@@ -172,9 +184,7 @@
 }  // namespace
 
 bool MayReachMore(const entry_state& s, micros now) {
-  const reach_state& r = s.reach;
-  return r.is_partial &&
-         (r.reach < kMaxReach || now - r.changed_at < kAllKnownAfter);
+  return s.reach.is_partial && !KnowsAll(s.reach, now);
 }
 
 void TickReach(entry_state& s, micros now) {
@@ -190,6 +200,7 @@
   const size_t forgotten = std::erase_if(r.labels, [&](const auto& row) {
     return now - row.second > kForgetAfter;
   });
+  RecordAllKnown(r, now);
   const bool reach_changed = UpdateReach(s, now);
   if (labels_added || reach_changed || forgotten > 0)
     Publish(s, labels_added    ? "a job needs a label"
--- a/tests/neighbours_unit_test.cc
+++ b/tests/neighbours_unit_test.cc
@@ -270,6 +270,24 @@
   CHECK_FALSE(w.jobs.at("job").started);
 }
 
+// Guards against callers that send such jobs again and again, and with them
+// keep a stream between each entry and each sidecar.
+TEST_CASE_METHOD(system_of_neighbours,
+                 "task_fits_nobody_again_refused_at_once") {
+  constexpr micros kGivenBack = Millis(45'000);
+  const size_t before = Streams();
+  for (const char* id : {"first", "second"}) {
+    emulated_job job = MakeJob(id, 1, 90'000, 50);
+    job.wait_ms = 30'000;
+    w.SubmitTo(0, std::move(job));
+    w.Pass(kGivenBack);
+  }
+  const emulated_job& second = w.jobs.at("second");
+  CHECK(second.fate == job_fate::refused);
+  CHECK(second.answered - second.first_sent < Millis(500));
+  CHECK(Streams() == before);
+}
+
 // Guards against a step that wants more workers than have streams to its entry.
 TEST_CASE_METHOD(system_of_neighbours, "wider_than_neighbours_job_completes") {
   emulated_job job = MakeJob("job", 30, 1000, 1000);
