--- a/tests/neighbours_unit_test.cc
+++ b/tests/neighbours_unit_test.cc
@@ -284,7 +284,7 @@
   }
   const emulated_job& second = w.jobs.at("second");
   CHECK(second.fate == job_fate::refused);
-  CHECK(second.answered - second.first_sent < Millis(500));
+  CHECK(second.answered - second.first_sent < Millis(100));
   CHECK(Streams() == before);
 }
 
