Neighbours: only ends of durable runs call for streams to all entries

Cause: a sidecar that finds ends of runs which an earlier one had ordered made all entries its neighbours. Runs that are not durable have no owner to look for; the first entry that hears of such an end says that it may be forgotten.

Change: the number of a run tells whether it is durable.

Checked: end_not_durable_few_neighbours, which fails without the condition.

--- a/src/core/sidecar_neighbours.cc
+++ b/src/core/sidecar_neighbours.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 
+#include "durable_systems.h"
 #include "lease_manager_systems.h"
 #include "sidecar_systems.h"
 
@@ -72,10 +73,16 @@
 
 // Failure guarded against: the owner of a durable run that has ended here is
 // gone, and the entry that takes over its job is no neighbour, never hears of
-// the end, and runs the task again.
+// the end, and runs the task again. Ends of runs that are not durable matter to
+// nobody: any entry says so.
 bool NeedsAllEntries(const sidecar_state& s, micros now) {
-  return !s.lease_manager.held_ends.empty() &&
-         !UnclaimedEnds(s.lease_manager, now).empty();
+  if (s.lease_manager.held_ends.empty())
+    return false;
+  const std::vector<run_end> ends = UnclaimedEnds(s.lease_manager, now);
+  const uint32_t first_durable = FirstRun(durable_job_state().epoch);
+  return std::any_of(ends.begin(), ends.end(), [&](const run_end& end) {
+    return end.ref.run >= first_durable;
+  });
 }
 
 // An entry that starts again is back within this; only then another one takes
--- a/tests/neighbours_unit_test.cc
+++ b/tests/neighbours_unit_test.cc
@@ -387,6 +387,33 @@
   RequireNoneBroken(w.violations);
 }
 
+// A sidecar that holds the end of a run which an earlier one had ordered.
+struct sidecar_with_unknown_end {
+  size_t Neighbours(uint32_t run) const {
+    constexpr int kEntries = 100;
+    sidecar_state s = MakeSidecar(sidecar_options());
+    entries_found found;
+    for (int i = 0; i < kEntries; ++i)
+      found.rows.push_back({"10.0.0.1:" + std::to_string(i + 1), "a", 1, {}});
+    held_end held;
+    held.end.ref = {{"job", 0, 0, 0}, run};
+    s.lease_manager.held_ends.emplace(1, held);
+    Tick(s, Millis(5000), {std::move(found)});
+    return static_cast<size_t>(std::count_if(
+        s.links.begin(), s.links.end(),
+        [](const entry_link& link) { return link.is_neighbour; }));
+  }
+};
+
+// Guards against sidecars that all dial all entries after a loss of all
+// processes, as they find ends of runs that they did not order.
+TEST_CASE_METHOD(sidecar_with_unknown_end, "end_not_durable_few_neighbours") {
+  constexpr uint32_t kFirstRun = 1;
+  constexpr uint32_t kFirstDurableRun = 1 << 12;
+  CHECK(Neighbours(kFirstRun) < 20);
+  CHECK(Neighbours(kFirstDurableRun) == 100);
+}
+
 // ---- [5] Seeded days --------------------------------------------------------
 
 // Guards against promises that rest on a stream between each entry and each
