--- a/tests/row_watch_unit_test.cc
+++ b/tests/row_watch_unit_test.cc
@@ -18,12 +18,12 @@
     table.version = 1;
     for (size_t i = 0; i < rows; ++i)
       table.rows.push_back({"t", std::to_string(i), "v", 1, false});
-    store.get = [&](const std::string&, row_store::callback answer) {
+    store.get = [&](const std::string&, const row_store::callback& answer) {
       read += rows;
       answer(table);
     };
     store.feed = [&](const std::string&, uint64_t, int64_t,
-                     row_store::callback answer) {
+                     const row_store::callback& answer) {
       rows_reply nothing;
       nothing.status = store_status::ok;
       nothing.version = 1;
