Sidecars dial entries that were down for over a minute now and then

Change: such an address is dialled each 30 s, beside the pace of the others; another entry takes its place as a neighbour meanwhile.

Checked: entry_down_for_minutes_dialled_now_and_then, 0 dials before, two to four in 80 s now. An emulated entry showed nothing, as its address is among the sidecars' seeds, which always were dialled.

--- a/src/core/sidecar.cc
+++ b/src/core/sidecar.cc
@@ -282,7 +282,7 @@
   ++link.failed_dials;
   if (link.first_failed.value == 0)
     link.first_failed = now;
-  link.next_dial = NextDial(s, now);
+  link.next_dial = NextDial(s, now, link);
 }
 
 void HandleHello(sidecar_state& s,
@@ -499,7 +499,7 @@
                      now - link.last_received_at > silence))
       CloseLink(s, now, id, true);
     if (link.state == link_state::idle && link.is_neighbour &&
-        now >= link.next_dial && !IsGone(link, now))
+        now >= link.next_dial)
       Dial(s, now, id);
     if (link.state == link_state::up && now - link.last_sent >= heartbeat &&
         !link.must_send) {
--- a/src/core/sidecar_neighbours.cc
+++ b/src/core/sidecar_neighbours.cc
@@ -192,14 +192,22 @@
 
 // ---- [3] Dials --------------------------------------------------------------
 
+namespace {
+
+constexpr micros kGoneDialInterval = Millis(30'000);
+
+}  // namespace
+
 // The more entries don't answer, the longer each waits: after a loss of all
 // entries, dials don't take the processors of those that come back. Dials
 // spread at random are not all made at the same moment.
-micros NextDial(sidecar_state& s, micros now) {
-  const auto failing =
-      std::count_if(s.links.begin(), s.links.end(), [](const entry_link& link) {
+micros NextDial(sidecar_state& s, micros now, const entry_link& link) {
+  if (IsGone(link, now))
+    return now + kGoneDialInterval;
+  const auto failing = std::count_if(
+      s.links.begin(), s.links.end(), [&](const entry_link& link) {
         return link.is_neighbour && link.state != link_state::up &&
-               link.first_failed.value != 0;
+               link.first_failed.value != 0 && !IsGone(link, now);
       });
   const int64_t paced = s.options.neighbours.dial_interval.value * failing;
   if (paced <= s.options.redial.value)
--- a/src/core/sidecar_systems.h
+++ b/src/core/sidecar_systems.h
@@ -18,15 +18,15 @@
 // been neighbours for a while to close their streams.
 void TickNeighbours(sidecar_state& s, micros now);
 // When to dial an entry again that was dialled in vain.
-micros NextDial(sidecar_state& s, micros now);
+micros NextDial(sidecar_state& s, micros now, const entry_link& link);
 // How long an entry may take to answer a dial. Failure guarded against: an
 // entry that is short of processor time is dialled again and again while it
 // still answers the first dial, and is then later still.
 micros DialTimeout(const sidecar_state& s, const entry_link& link);
-// Whether dials to this address have failed for so long that it is not dialled
-// any more; seeds always are. A replaced entry never returns to its old
-// address, and dialling it for ever would cost one connection attempt after
-// another.
+// Whether dials to this address have failed for so long that it is dialled only
+// now and then, and another entry takes its place; seeds never are. Failure
+// guarded against: a replaced entry never returns to its old address, and
+// dialling it costs one connection attempt after another.
 bool IsGone(const entry_link& link, micros now);
 
 // ---- Configuration and closed domains (sidecar_config.cc) -------------------
--- a/tests/neighbours_unit_test.cc
+++ b/tests/neighbours_unit_test.cc
@@ -414,6 +414,30 @@
   CHECK(Neighbours(kFirstDurableRun) == 100);
 }
 
+// Guards against an entry that was down for over a minute, comes back at its
+// address, and is never dialled again.
+TEST_CASE("entry_down_for_minutes_dialled_now_and_then") {
+  sidecar_state s = MakeSidecar(sidecar_options());
+  std::vector<sidecar_event> events = {
+      entries_found{{{"10.0.0.1:70", "a", 1, {}}}}};
+  constexpr micros kGone = Millis(70'000);
+  int dials_when_gone = 0;
+  for (micros now = Millis(1000); now < Millis(150'000);
+       now = now + Millis(50)) {
+    const auto actions = Tick(s, now, std::move(events));
+    events.clear();
+    for (const sidecar_action& action : actions) {
+      const auto* dial = std::get_if<dial_entry>(&action);
+      if (dial == nullptr)
+        continue;
+      events.emplace_back(link_lost{dial->link, dial->epoch});
+      dials_when_gone += now > kGone ? 1 : 0;
+    }
+  }
+  CHECK(dials_when_gone >= 2);
+  CHECK(dials_when_gone <= 4);
+}
+
 // ---- [5] Seeded days --------------------------------------------------------
 
 // Guards against promises that rest on a stream between each entry and each
