Interfaces: demand of entries on the wire, settings of four new parts; the emulator plays bursts and tails

Cause: thirteen entries share out one set of workers, each by what it knows itself, and the emulated load had no burst of one queue, no heavy tail and no way to show either. Measured: nothing yet; without bursts and tails the load draws the same jobs (the guarded draws come only with them).

--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -219,6 +219,11 @@
   leased_admission admission = leased_admission::in_time;
   leased_order order = leased_order::fair_share;
   bool enabled = false;
+  // Fair shares of queues count what all entries use, not this one alone.
+  bool shares_across_entries = false;
+  // Estimates withstand a heavy tail of run times, and tasks that would be late
+  // on slow workers get faster ones.
+  bool adapts_to_uneven_workers = false;
   // A longer gap between ticks means that this process was frozen.
   micros pause_threshold = Millis(350);
   // After a pause nothing is started for this long.
--- a/include/cassiaferry/leases.h
+++ b/include/cassiaferry/leases.h
@@ -9,10 +9,11 @@
 // Contents
 //   [1] Resources
 //   [2] Tasks and runs
-//   [3] Entry to sidecar
-//   [4] Sidecar to entry
-//   [5] Bounds
-//   [6] Heartbeats
+//   [3] Demand
+//   [4] Entry to sidecar
+//   [5] Sidecar to entry
+//   [6] Bounds
+//   [7] Heartbeats
 
 #ifndef CASSIAFERRY_LEASES_H_
 #define CASSIAFERRY_LEASES_H_
@@ -90,7 +91,18 @@
 
 const char* ToText(run_end_kind kind);
 
-// ---- [3] Entry to sidecar ---------------------------------------------------
+// ---- [3] Demand -------------------------------------------------------------
+
+// Demand for the tasks of one queue: of one entry, or of several together.
+struct queue_demand {
+  std::string queue;
+  int64_t cpu_in_use = 0;   // of runs ordered and not ended, thousandths of a
+                            // core
+  int64_t cpu_waiting = 0;  // needed by waiting tasks, thousandths of a core
+  bool operator==(const queue_demand&) const = default;
+};
+
+// ---- [4] Entry to sidecar ---------------------------------------------------
 
 struct run_start {
   run_ref ref;
@@ -131,12 +143,15 @@
   int64_t wanted_cpu = 0;
   // The entry wants reports of changed free resources.
   bool follows_resources = false;
+  // The entry's demand by queue, while tasks of it wait for capacity and shares
+  // are kept across entries (leased_options::shares_across_entries).
+  std::vector<queue_demand> demand;
   bool is_first = false;       // first of a stream: `known` is complete
   std::vector<run_ref> known;  // runs ordered from this sidecar process whose
                                // end is not received yet
 };
 
-// ---- [4] Sidecar to entry ---------------------------------------------------
+// ---- [5] Sidecar to entry ---------------------------------------------------
 
 struct run_end {
   uint64_t number = 0;  // increasing per entry; acknowledged cumulatively
@@ -194,9 +209,13 @@
   std::vector<straggler> stragglers;
   std::vector<run_end> unclaimed;  // held ends whose owner is silent or unknown
   received_frame last_received;
+  // Sums over the entries that have sent their demand here lately, by queue.
+  // Empty unless the receiver has sent its own.
+  std::vector<queue_demand> demand;
+  uint32_t demand_entries = 0;  // number of entries in these sums
 };
 
-// ---- [5] Bounds -------------------------------------------------------------
+// ---- [6] Bounds -------------------------------------------------------------
 
 // Timeouts after which one party takes another for failed. All processes of a
 // system use the same values.
@@ -236,7 +255,7 @@
 // entry started must be over.
 lease_bounds BoundsFor(micros lease_max, micros resend_after);
 
-// ---- [6] Heartbeats ---------------------------------------------------------
+// ---- [7] Heartbeats ---------------------------------------------------------
 
 // How often a stream carries at least one frame, and how long a stream without
 // a frame counts as alive. A pair of entry and sidecar is idle while no run of
--- a/include/cassiaferry/sidecar.h
+++ b/include/cassiaferry/sidecar.h
@@ -59,6 +59,8 @@
   size_t max_results_bytes = 32 << 20;  // unacknowledged results of one entry
   size_t max_queued = 20'000;           // number of queued tasks and probes
   bool manages_leases = false;          // the worker runs leased tasks
+  // Keeps a record of the worker in the store, and starts with it.
+  bool keeps_worker_record = false;
   lease_manager_options lease_manager;
 };
 
--- a/src/apps/emulate_experiment.cc
+++ b/src/apps/emulate_experiment.cc
@@ -42,6 +42,9 @@
     {"wave_swing", field_kind::number, 0, 1},
     {"wave_period_s", field_kind::number, 0.1, 600},
     {"domain_shares", field_kind::array, 1, 100},
+    {"tail_share", field_kind::number, 0, 1},
+    {"tail_times", field_kind::number, 1, 1000},
+    {"bursts", field_kind::array, 0, 100},
     {"loads", field_kind::array, 1, 100, true},
     {"arms", field_kind::array, 1, 20, true},
 };
@@ -55,6 +58,15 @@
     {"exact_estimates", field_kind::boolean, 0, 0},
     {"no_delay", field_kind::boolean, 0, 0},
     {"entries", field_kind::integer, 1, 100},
+    {"shares_across_entries", field_kind::boolean, 0, 0},
+    {"adapts_to_uneven_workers", field_kind::boolean, 0, 0},
+};
+
+const std::vector<field_rule> kBurstRules = {
+    {"queue", field_kind::text, 1, 64, true},
+    {"times", field_kind::number, 0, 100, true},
+    {"from_s", field_kind::number, 0, 600, true},
+    {"for_s", field_kind::number, 0, 600, true},
 };
 
 struct arm {
@@ -66,6 +78,8 @@
   bool exact_estimates = false;
   bool no_delay = false;
   int entries = 0;  // 0: as the file says
+  bool shares_across_entries = false;
+  bool adapts_to_uneven_workers = false;
 };
 
 [[noreturn]] void Refuse(const std::string& path, const std::string& why) {
@@ -104,10 +118,25 @@
   a.exact_estimates = j.value("exact_estimates", a.exact_estimates);
   a.no_delay = j.value("no_delay", a.no_delay);
   a.entries = j.value("entries", a.entries);
+  a.shares_across_entries =
+      j.value("shares_across_entries", a.shares_across_entries);
+  a.adapts_to_uneven_workers =
+      j.value("adapts_to_uneven_workers", a.adapts_to_uneven_workers);
   a.paces_payloads = j.value("paces_payloads", a.paces_payloads);
   return a;
 }
 
+load_burst ReadBurst(const std::string& path, const json& j) {
+  std::vector<config_error> errors;
+  CheckObject(j, kBurstRules, "/bursts", errors);
+  if (!errors.empty())
+    Refuse(path, errors.front().path + ": " + errors.front().message);
+  const size_t queue = QueueNumber(j["queue"]);
+  if (queue == kLoadQueues)
+    Refuse(path, "bursts: queue: unknown");
+  return {queue, j["times"], j["from_s"], j["for_s"]};
+}
+
 // ---- [2] Plays --------------------------------------------------------------
 
 struct play {
@@ -117,7 +146,10 @@
   play_result result;
 };
 
-load_options OptionsFor(const json& file, const arm& a, const play& p) {
+load_options OptionsFor(const json& file,
+                        const std::vector<load_burst>& bursts,
+                        const arm& a,
+                        const play& p) {
   load_options o;
   o.world.seed = p.seed;
   o.world.entries = a.entries != 0 ? a.entries : file.value("entries", 3);
@@ -125,6 +157,8 @@
   o.world.domains = file.value("failure_domains", 3);
   o.world.order = a.order;
   o.world.admission = a.admission;
+  o.world.shares_across_entries = a.shares_across_entries;
+  o.world.adapts_to_uneven_workers = a.adapts_to_uneven_workers;
   o.world.entry_link_bytes_per_s = a.link_bytes_per_s;
   o.world.paces_payloads = a.paces_payloads;
   o.load = p.load;
@@ -136,6 +170,9 @@
   o.world.speeds = file.value("speeds", std::vector<double>());
   o.world.far_delay =
       micros{static_cast<int64_t>(file.value("far_delay_ms", 0.0) * 1000)};
+  o.bursts = bursts;
+  o.tail_share = file.value("tail_share", o.tail_share);
+  o.tail_times = file.value("tail_times", o.tail_times);
   o.wave_swing = file.value("wave_swing", 0.0);
   o.wave_period_s = file.value("wave_period_s", o.wave_period_s);
   o.domain_shares = file.value("domain_shares", std::vector<double>());
@@ -147,13 +184,14 @@
 
 // Each thread takes the next play; none touches another's.
 void PlayAll(const json& file,
+             const std::vector<load_burst>& bursts,
              const std::vector<arm>& arms,
              std::vector<play>& plays) {
   std::atomic<size_t> next{0};
   const auto work = [&] {
     for (size_t i = next++; i < plays.size(); i = next++)
       plays[i].result =
-          PlayLoad(OptionsFor(file, arms[plays[i].arm], plays[i]));
+          PlayLoad(OptionsFor(file, bursts, arms[plays[i].arm], plays[i]));
   };
   std::vector<std::thread> threads;
   threads.reserve(std::thread::hardware_concurrency() + 1);
@@ -268,7 +306,10 @@
         plays.push_back({a, load, seed, {}});
     }
   }
-  PlayAll(file, arms, plays);
+  std::vector<load_burst> bursts;
+  for (const json& j : file.value("bursts", json::array()))
+    bursts.push_back(ReadBurst(path, j));
+  PlayAll(file, bursts, arms, plays);
   PrintTable(arms, loads, plays);
   if (!WriteCsv(path + ".csv", arms, plays))
     Refuse(path, "can't write " + path + ".csv");
--- a/src/apps/entry_app.cc
+++ b/src/apps/entry_app.cc
@@ -43,6 +43,8 @@
   o.leased.durable.enabled = !settings.store.empty();
   o.leased.order = settings.order;
   o.leased.admission = settings.admission;
+  o.leased.shares_across_entries = settings.shares_across_entries;
+  o.leased.adapts_to_uneven_workers = settings.adapts_to_uneven_workers;
   o.leased.bounds = BoundsFor(Millis(settings.lease_max_ms),
                               Millis(settings.resend_after_ms));
   constexpr double kBytesPerMegabit = 1e6 / 8;
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -52,6 +52,11 @@
   leased_admission admission = leased_admission::in_time;
   double link_mbps = 0;  // of the machine's link; 0: not known
   leased_order order = leased_order::fair_share;
+  bool shares_across_entries = false;
+  bool adapts_to_uneven_workers = false;
+  // Callers are moved to other entries while this one is short of processor
+  // time.
+  bool sheds_connections = false;
 };
 
 // Row of the platform's table that holds the closed failure domains.
--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -43,6 +43,9 @@
     {"order", field_kind::text, 1, 64},
     {"admission", field_kind::text, 1, 64},
     {"link_mbps", field_kind::number, 0.1, 1e6},
+    {"shares", field_kind::text, 1, 64},
+    {"uneven_workers", field_kind::text, 1, 64},
+    {"shed_connections", field_kind::text, 1, 64},
 };
 
 void CheckAddress(const nlohmann::json& value, const std::string& path) {
@@ -74,6 +77,19 @@
       FLAGS_settings + ": /admission: must be one of useful, in_time");
 }
 
+// A member that takes one of two texts; absent: the first. Returns whether it
+// is the second.
+bool ReadChoice(const nlohmann::json& j,
+                const char* member,
+                const char* first,
+                const char* second) {
+  const std::string text = j.value(member, first);
+  if (text != first && text != second)
+    Die(kExitBadInput, FLAGS_settings + ": /" + member + ": must be one of " +
+                           first + ", " + second);
+  return text == second;
+}
+
 entry_settings ReadEntrySettings(nlohmann::json j) {
   if (!FLAGS_http.empty())
     j["http"] = FLAGS_http;
@@ -111,6 +127,9 @@
   s.admission = ReadAdmission(j.value("admission", "in_time"));
   s.link_mbps = j.value("link_mbps", s.link_mbps);
   s.order = ReadOrder(j.value("order", "fair_share"));
+  s.shares_across_entries = ReadChoice(j, "shares", "own", "all_entries");
+  s.adapts_to_uneven_workers = ReadChoice(j, "uneven_workers", "off", "auto");
+  s.sheds_connections = ReadChoice(j, "shed_connections", "off", "auto");
   s.max_body_bytes = j.value("max_body_bytes", s.max_body_bytes);
   s.max_connections = j.value("max_connections", s.max_connections);
   s.traffic_threads = j.value("traffic_threads", s.traffic_threads);
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -53,6 +53,7 @@
     {"lease_max_ms", field_kind::integer, 100, 600'000},
     {"resend_after_ms", field_kind::integer, 300, 600'000},
     {"stop_grace_s", field_kind::number, 0.1, 600},
+    {"worker_record", field_kind::text, 1, 64},
 };
 
 const std::vector<field_rule> kAnnouncementRules = {
@@ -80,6 +81,11 @@
   // worker's refusals raise the fence.
   o.lease_manager.first_fence = static_cast<uint64_t>(WallMillis());
   o.lease_manager.holds_unknown_ends = settings.contains("store");
+  const std::string record = settings.value("worker_record", "off");
+  if (record != "off" && record != "store")
+    Die(kExitBadInput,
+        FLAGS_settings + ": /worker_record: must be one of off, store");
+  o.keeps_worker_record = record == "store" && settings.contains("store");
   o.timing = TimingFor(o.lease_manager.bounds);
   o.redial = Millis(100);
   o.drain_grace =
--- a/src/core/frame_bytes.cc
+++ b/src/core/frame_bytes.cc
@@ -41,12 +41,14 @@
 size_t Bytes(const lease_orders& orders) {
   return Bytes(orders.starts) +
          kRefBytes * (orders.stops.size() + orders.known.size() +
-                      orders.resolved_ends.size());
+                      orders.resolved_ends.size()) +
+         kRecordBytes * orders.demand.size();
 }
 
 size_t Bytes(const lease_reports& reports) {
   return kRefBytes * (reports.ends.size() + reports.unclaimed.size() +
                       reports.stragglers.size()) +
+         kRecordBytes * reports.demand.size() +
          (reports.worker ? kWorkerBytes : 0);
 }
 
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -135,6 +135,8 @@
   o.leased.bounds = options.bounds;
   o.leased.order = options.order;
   o.leased.admission = options.admission;
+  o.leased.shares_across_entries = options.shares_across_entries;
+  o.leased.adapts_to_uneven_workers = options.adapts_to_uneven_workers;
   o.leased.durable.enabled = options.has_store;
   o.leased.link.enabled = options.paces_payloads;
   if (options.link_is_stated)
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -66,6 +66,8 @@
   micros restart_after = Millis(500);  // of a killed process
   leased_order order = leased_order::fair_share;
   leased_admission admission = leased_admission::in_time;
+  bool shares_across_entries = false;
+  bool adapts_to_uneven_workers = false;
   bool has_store = false;  // entries take durable jobs
   // Of each entry's link, in each direction, shared by its streams and callers;
   // 0: no bound.
--- a/src/emulator/load_play.cc
+++ b/src/emulator/load_play.cc
@@ -67,7 +67,26 @@
   return sum / static_cast<double>(job.run_ms.size());
 }
 
-emulated_job DrawJob(load_random& random, int number, const queue_load& q) {
+// Run times of a job's tasks. Without a tail nothing more is drawn for it.
+std::vector<int64_t> DrawRunTimes(load_random& random,
+                                  const load_options& o,
+                                  uint32_t tasks,
+                                  double base_ms) {
+  std::uniform_real_distribution<double> chance(0, 1);
+  std::vector<int64_t> times;
+  for (uint32_t i = 0; i < tasks; ++i) {
+    double ms = Spread(random, base_ms, 0.15);
+    if (o.tail_share > 0 && chance(random) < o.tail_share)
+      ms *= o.tail_times;
+    times.push_back(std::max<int64_t>(1, static_cast<int64_t>(ms)));
+  }
+  return times;
+}
+
+emulated_job DrawJob(load_random& random,
+                     const load_options& o,
+                     int number,
+                     const queue_load& q) {
   const auto tasks =
       static_cast<uint32_t>(std::max(1.0, Spread(random, q.tasks, 0.4)));
   const double base = Spread(random, q.run_ms, 0.4);
@@ -75,23 +94,45 @@
   emulated_job job = MakeJob("job-" + std::to_string(number), tasks, cpu, 1);
   job.queue = q.name;
   job.wait_ms = 1900 + 2 * static_cast<int64_t>(base);
-  job.run_ms.clear();
-  for (uint32_t i = 0; i < tasks; ++i)
-    job.run_ms.push_back(
-        std::max<int64_t>(1, static_cast<int64_t>(Spread(random, base, 0.15))));
+  job.run_ms = DrawRunTimes(random, o, tasks, base);
+  if (o.tail_share > 0)
+    job.wait_ms =
+        1900 + 2 * *std::max_element(job.run_ms.begin(), job.run_ms.end());
   job.steps[0].expected_ms =
       std::max<int64_t>(1, static_cast<int64_t>(Spread(random, base, 0.3)));
   return job;
 }
 
-const queue_load& DrawQueue(load_random& random) {
-  double draw = std::uniform_real_distribution<double>(0, 1)(random);
-  for (const queue_load& q : kLoads) {
-    draw -= q.share;
+// Shares of the queues at this time; their sum is how often a job comes,
+// against the load without bursts.
+struct queue_shares {
+  double share[kLoadQueues] = {};
+  double sum = 1;
+};
+
+queue_shares SharesAt(const load_options& o, double seconds) {
+  queue_shares shares;
+  for (size_t queue = 0; queue < kLoadQueues; ++queue)
+    shares.share[queue] = kLoads[queue].share;
+  for (const load_burst& burst : o.bursts) {
+    if (seconds < burst.from_s || seconds >= burst.from_s + burst.for_s)
+      continue;
+    const double more = shares.share[burst.queue] * (burst.times - 1);
+    shares.share[burst.queue] += more;
+    shares.sum += more;
+  }
+  return shares;
+}
+
+const queue_load& DrawQueue(load_random& random, const queue_shares& shares) {
+  double draw =
+      std::uniform_real_distribution<double>(0, 1)(random) * shares.sum;
+  for (size_t queue = 0; queue < kLoadQueues; ++queue) {
+    draw -= shares.share[queue];
     if (draw < 0)
-      return q;
+      return kLoads[queue];
   }
-  return kLoads[2];
+  return kLoads[kLoadQueues - 1];
 }
 
 // An entry of the domain. Entries are dealt to domains in turn.
@@ -129,12 +170,14 @@
   int number = 0;
   while (w.now < until) {
     constexpr double kTurn = 6.283185307179586;
-    const double turns =
-        static_cast<double>((w.now - began).value) / 1e6 / o.wave_period_s;
-    const double wave = 1 + o.wave_swing * std::sin(kTurn * turns);
-    w.Pass(micros{static_cast<int64_t>(gap(random) * 1000 / wave)});
-    const queue_load& queue = DrawQueue(random);
-    emulated_job job = DrawJob(random, number++, queue);
+    const double seconds = static_cast<double>((w.now - began).value) / 1e6;
+    const double wave =
+        1 + o.wave_swing * std::sin(kTurn * seconds / o.wave_period_s);
+    const queue_shares shares = SharesAt(o, seconds);
+    w.Pass(
+        micros{static_cast<int64_t>(gap(random) * 1000 / wave / shares.sum)});
+    const queue_load& queue = DrawQueue(random, shares);
+    emulated_job job = DrawJob(random, o, number++, queue);
     if (o.exact_estimates)
       job.steps[0].expected_ms =
           std::max<int64_t>(1, static_cast<int64_t>(MeanMs(job)));
@@ -325,4 +368,11 @@
   return kLoads[queue].name;
 }
 
+size_t QueueNumber(const std::string& name) {
+  size_t queue = 0;
+  while (queue < kLoadQueues && name != kLoads[queue].name)
+    ++queue;
+  return queue;
+}
+
 }  // namespace cassiaferry::emulator
--- a/src/emulator/load_play.h
+++ b/src/emulator/load_play.h
@@ -4,6 +4,7 @@
 #define CASSIAFERRY_SRC_EMULATOR_LOAD_PLAY_H_
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "leased_world.h"
@@ -12,6 +13,14 @@
 
 constexpr size_t kLoadQueues = 3;  // quick, long, pings
 
+// A queue is asked `times` as much for a while.
+struct load_burst {
+  size_t queue = 0;
+  double times = 1;
+  double from_s = 0;
+  double for_s = 0;
+};
+
 struct load_options {
   world_options world;  // its capacity is set by PlayLoad
   double load = 1;      // offered against the room of all workers
@@ -25,9 +34,14 @@
   std::vector<double> domain_shares;  // of such callers; empty: the same
   double wave_swing = 0;              // of the load, as a share of it ...
   double wave_period_s = 11;          // ... and how long a wave takes
-  bool exact_estimates = false;       // entries are told how long tasks take
-  bool no_delay = false;              // what is sent is there at once
-  bool with_bound = false;  // compare with it: takes longer than the play
+  std::vector<load_burst> bursts;
+  // Share of the tasks that take `tail_times` as long as others of their job,
+  // on any worker. Their estimate doesn't tell.
+  double tail_share = 0;
+  double tail_times = 7;
+  bool exact_estimates = false;  // entries are told how long tasks take
+  bool no_delay = false;         // what is sent is there at once
+  bool with_bound = false;       // compare with it: takes longer than the play
 };
 
 struct queue_result {
@@ -64,6 +78,8 @@
 play_result PlayLoad(const load_options& options);
 
 const char* QueueName(size_t queue);
+// `kLoadQueues` if there is none of that name.
+size_t QueueNumber(const std::string& name);
 
 }  // namespace cassiaferry::emulator
 
--- a/src/net/codec.cc
+++ b/src/net/codec.cc
@@ -122,6 +122,16 @@
   }
 }
 
+void Write(const queue_demand& demand, wire::QueueDemand* out) {
+  out->set_queue(demand.queue);
+  out->set_cpu_in_use(demand.cpu_in_use);
+  out->set_cpu_waiting(demand.cpu_waiting);
+}
+
+queue_demand Read(const wire::QueueDemand& demand) {
+  return {demand.queue(), demand.cpu_in_use(), demand.cpu_waiting()};
+}
+
 void Write(const lease_orders& orders, wire::LeaseOrders* out) {
   out->set_echo(orders.echo);
   out->set_sent(orders.sent);
@@ -140,6 +150,8 @@
     Write(settled.ref, s->mutable_ref());
     s->set_fate(static_cast<uint32_t>(settled.disposition));
   }
+  for (const queue_demand& demand : orders.demand)
+    Write(demand, out->add_demand());
 }
 
 lease_orders Read(const wire::LeaseOrders& orders) {
@@ -161,6 +173,8 @@
     o.resolved_ends.push_back(
         {Read(settled.ref()),
          Bounded(settled.fate(), end_disposition::offer_to_others)});
+  for (const wire::QueueDemand& demand : orders.demand())
+    o.demand.push_back(Read(demand));
   return o;
 }
 
@@ -214,6 +228,9 @@
     st->set_run_ms(slow.run_ms);
     st->set_percent(slow.percent);
   }
+  for (const queue_demand& demand : reports.demand)
+    Write(demand, out->add_demand());
+  out->set_demand_entries(reports.demand_entries);
 }
 
 lease_reports Read(const wire::LeaseReports& reports) {
@@ -234,6 +251,9 @@
                      reports.heard_held()};
   for (const wire::Straggler& slow : reports.stragglers())
     r.stragglers.push_back({Read(slow.ref()), slow.run_ms(), slow.percent()});
+  for (const wire::QueueDemand& demand : reports.demand())
+    r.demand.push_back(Read(demand));
+  r.demand_entries = reports.demand_entries();
   return r;
 }
 
