Lease manager: a recorded worker counts once its session has answered

Cause: what an earlier sidecar recorded may be of a worker that is gone, or of an earlier session under the same id. Change: event worker_record_read. If no session is or was known, the recorded one is polled. Its answer with the same start time makes it announced, with sequence 0; any announcement, another start time, another session's answer or its deregistration drops the record, and what is known is as if there had been none (only the fence stays above that of the polls sent).

--- a/include/cassiaferry/lease_manager.h
+++ b/include/cassiaferry/lease_manager.h
@@ -99,6 +99,11 @@
 struct leased_worker_deregistered {
   worker_session session;
 };
+// What an earlier sidecar recorded of the worker: an assumption until that
+// session answers a poll.
+struct worker_record_read {
+  leased_worker_info info;
+};
 
 enum class worker_answer : uint8_t {
   ok,
@@ -145,6 +150,7 @@
 
 using lease_manager_event = std::variant<leased_worker_announced,
                                          leased_worker_deregistered,
+                                         worker_record_read,
                                          run_start_answered,
                                          run_stop_answered,
                                          poll_answered>;
@@ -267,6 +273,11 @@
   bool closed = false;    // the failure domain is closed: nothing new starts
   std::set<worker_session> past_sessions;  // known to be over
   uint64_t sessions_met = 0;
+  // The record of the session that is called. It has neither answered with the
+  // same start time nor announced itself.
+  std::optional<leased_worker_info> record;
+  uint64_t records_used = 0;
+  uint64_t records_dropped = 0;
   // Another session that was announced. It replaces the current session once an
   // answer to a later poll shows that the current one is over, or once the
   // current one is silent and no lease of it can be left.
--- a/src/core/lease_manager.cc
+++ b/src/core/lease_manager.cc
@@ -407,6 +407,10 @@
 void HandlePollAnswer(lease_manager_state& m,
                       micros now,
                       const poll_answered& e) {
+  if (e.answer == worker_answer::other_session && m.record) {
+    DropRecord(m, "another session answers at its address");
+    return;
+  }
   if (e.answer == worker_answer::other_session) {
     LoseWorker(m, now, session_end_proof::answer,
                "another session answers at its address");
@@ -430,6 +434,8 @@
     m.successor_poll_failed = m.successor_poll_failed || verifies;
     return;
   }
+  if (!VerifyRecord(m, e.started_ms))
+    return;
   if (e.started_ms != 0 && e.started_ms != m.worker.session.started_ms) {
     HandleWorkerRestart(m, now, {m.worker.session.id, e.started_ms});
     return;
@@ -468,6 +474,9 @@
   void operator()(const leased_worker_deregistered& e) {
     HandleDeregistration(m, now, e.session);
   }
+  void operator()(worker_record_read& e) {
+    HandleRecordRead(m, now, std::move(e.info));
+  }
   void operator()(const run_start_answered& e) {
     if (IsCurrent(e.session))
       HandleStartAnswer(m, now, e);
--- a/src/core/lease_manager_sessions.cc
+++ b/src/core/lease_manager_sessions.cc
@@ -8,6 +8,7 @@
 //   [2] Begin of a session
 //   [3] Announcements
 //   [4] Deregistration
+//   [5] Record of an earlier sidecar
 
 #include "cassiaferry/lease_manager.h"
 
@@ -159,6 +160,13 @@
     HandleWorkerRestart(m, now, session);
 }
 
+void ReportWorkerAgain(lease_manager_state& m) {
+  for (auto& [name, owner] : m.owners) {
+    owner.worker_reported = false;
+    owner.report_pending = true;
+  }
+}
+
 void UpdateWorkerInfo(lease_manager_state& m,
                       const leased_worker_announced& e) {
   const bool first = !m.announced;
@@ -176,10 +184,7 @@
             ToText(e.info.session) + ", cpu " +
                 std::to_string(e.info.capacity.cpu) +
                 (e.draining ? ", draining" : ""));
-  for (auto& [name, owner] : m.owners) {
-    owner.worker_reported = false;
-    owner.report_pending = true;
-  }
+  ReportWorkerAgain(m);
 }
 
 // Failure guarded against: a delayed announcement of an earlier session reaches
@@ -243,6 +248,7 @@
 void HandleAnnouncement(lease_manager_state& m,
                         micros now,
                         leased_worker_announced e) {
+  DropRecord(m, "announced " + ToText(e.info.session));
   worker_session& session = e.info.session;
   if (m.has_worker && session.started_ms == 0 &&
       session.id == m.worker.session.id)
@@ -303,6 +309,10 @@
   if (!m.has_worker || m.deregistered ||
       !(unknown_start || session == m.worker.session))
     return;
+  if (m.record) {
+    DropRecord(m, "deregistered");
+    return;
+  }
   LogChange(
       m, "worker deregistered",
       ToText(m.worker.session) + ", runs " + std::to_string(m.runs.size()));
@@ -316,4 +326,61 @@
     owner.report_pending = true;
 }
 
+// ---- [5] Record of an earlier sidecar ---------------------------------------
+
+// Failure guarded against: the record is of a worker that is gone, or of an
+// earlier session under the same id, and tasks are placed on it. The recorded
+// session is only polled until it has answered: `announced` stays false.
+void HandleRecordRead(lease_manager_state& m,
+                      micros now,
+                      leased_worker_info info) {
+  if (m.has_worker || m.sessions_met != 0 || info.session.started_ms == 0) {
+    ++m.records_dropped;
+    LogChange(m, "worker record dropped",
+              ToText(info.session) + ", " +
+                  (info.session.started_ms == 0 ? "its start is unknown"
+                                                : "a session is known"));
+    return;
+  }
+  BeginSession(m, now, info.session);
+  m.record = std::move(info);
+}
+
+// Failure guarded against: polls of a recorded session that is gone have made
+// the worker's calls count as lossy, or one of them is still open, when the
+// real session announces itself; the record would delay it. The fence stays
+// above those of the polls sent.
+void DropRecord(lease_manager_state& m, const std::string& why) {
+  if (!m.record)
+    return;
+  ++m.records_dropped;
+  LogChange(m, "worker record dropped", ToText(m.record->session) + ", " + why);
+  m.record.reset();
+  EndSession(m);
+  --m.sessions_met;
+  m.worker = {};
+  m.reconciled = false;
+  m.last_unanswered_at = {};
+  m.last_poll_failed = false;
+}
+
+bool VerifyRecord(lease_manager_state& m, int64_t started_ms) {
+  if (!m.record)
+    return true;
+  if (started_ms != m.record->session.started_ms) {
+    DropRecord(m,
+               "the worker answers with start " + std::to_string(started_ms));
+    return false;
+  }
+  m.worker = std::move(*m.record);
+  m.record.reset();
+  m.announced = true;
+  ++m.records_used;
+  LogChange(m, "worker record used",
+            ToText(m.worker.session) + ", cpu " +
+                std::to_string(m.worker.capacity.cpu));
+  ReportWorkerAgain(m);
+  return true;
+}
+
 }  // namespace cassiaferry
--- a/src/core/lease_manager_systems.h
+++ b/src/core/lease_manager_systems.h
@@ -70,6 +70,15 @@
 void HandleDeregistration(lease_manager_state& m,
                           micros now,
                           const worker_session& session);
+// Calls the recorded session, unless a session is known or was known.
+void HandleRecordRead(lease_manager_state& m,
+                      micros now,
+                      leased_worker_info info);
+// Drops the record, if there is one. No session is known afterwards.
+void DropRecord(lease_manager_state& m, const std::string& why);
+// Handles the start time in an answer of the recorded session. Returns false if
+// it dropped the record.
+bool VerifyRecord(lease_manager_state& m, int64_t started_ms);
 
 // ---- [3] Ends (lease_manager_ends.cc) ---------------------------------------
 
