Sidecar: keeps a worker record with "worker_record": "store"

Cause: the setting existed without effect. Change: the sidecar's tick returns the record's calls and takes their answers; the program carries them out with the store client. Nothing waits for them. The metric cassiaferry_worker_record_total{what} and the log lines worker record read, used, dropped, written and not written.

--- a/include/cassiaferry/sidecar.h
+++ b/include/cassiaferry/sidecar.h
@@ -29,6 +29,7 @@
 #include "cassiaferry/messages.h"
 #include "cassiaferry/metrics.h"
 #include "cassiaferry/neighbours.h"
+#include "cassiaferry/worker_record.h"
 
 namespace cassiaferry {
 
@@ -90,6 +91,11 @@
   std::vector<directory_row> rows;
 };
 
+// The answer to the open call_record_store.
+struct worker_record_answered {
+  rows_reply reply;
+};
+
 using sidecar_event = std::variant<link_frame_received,
                                    link_lost,
                                    upstream_announced,
@@ -97,6 +103,7 @@
                                    task_finished,
                                    drain_requested,
                                    entries_found,
+                                   worker_record_answered,
                                    lease_manager_event>;
 
 // ---- [3] Actions ------------------------------------------------------------
@@ -124,6 +131,9 @@
   incarnation entry;
   task_ref task;
 };
+struct call_record_store {  // one is open at a time
+  row_call what;
+};
 struct drained {};  // no work is left: the process may exit
 
 using sidecar_action = std::variant<dial_entry,
@@ -131,6 +141,7 @@
                                     send_to_entry,
                                     run_task,
                                     stop_task,
+                                    call_record_store,
                                     drained,
                                     lease_manager_action>;
 
@@ -233,6 +244,7 @@
   struct config_search config_search;
   closed_domains_state closed_domains;
   lease_manager_state lease_manager;
+  worker_record_state worker_record;
   counters metrics;
   std::vector<sidecar_action> actions;  // of the tick in progress
 };
@@ -250,6 +262,9 @@
 // Entries known, neighbours, streams and dials.
 std::string NeighboursPrometheusText(const sidecar_state& s);
 
+// Reads, uses and writes of the worker record; empty if none is kept.
+std::string WorkerRecordPrometheusText(const sidecar_state& s);
+
 // Slots that neither run a task nor are reserved by an unanswered offer.
 uint32_t FreeSlots(const sidecar_state& s);
 
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -136,6 +136,7 @@
   void StopTask(const stop_task& stop);
   bool TakeAnnouncement(const http_request& request);
   void CallWorker(const lease_manager_action& action);
+  void CallRecordStore(const row_call& call);
   void WatchDirectory(const std::string& store);
   void TakeDirectoryRows(const rows_reply& reply);
 
@@ -146,6 +147,7 @@
   std::string worker_address_;
   link_client links_;
   std::unique_ptr<row_watch> directory_;  // control thread only
+  row_store record_store_;                // set if the worker record is kept
   std::unique_ptr<http_server> server_;
   std::map<task_key, uint64_t> calls_;  // control thread only
   bool drained_ = false;
@@ -166,6 +168,8 @@
 
 void sidecar_app::Start(const json& settings) {
   worker_address_ = settings.value("worker", "");
+  if (state_.options.keeps_worker_record)
+    record_store_ = platform::MakeRowStore(http_, settings["store"]);
   if (settings.contains("store"))
     WatchDirectory(settings["store"]);
   http_server_options options;
@@ -195,7 +199,9 @@
   }
   loop_.Call([this, settings] {
     const uint64_t fence = state_.lease_manager.options.first_fence;
+    const bool keeps_record = state_.options.keeps_worker_record;
     ReadLeaseOptions(settings, state_.options);
+    state_.options.keeps_worker_record = keeps_record;
     state_.options.lease_manager.first_fence = fence;
     state_.lease_manager.options = state_.options.lease_manager;
     LogEvent(
@@ -290,6 +296,7 @@
     text += NeighboursPrometheusText(state_);
     if (state_.options.manages_leases)
       text += LeaseManagerPrometheusText(state_.lease_manager, Now());
+    text += WorkerRecordPrometheusText(state_);
     Reply(ticket, 200, text, "text/plain; version=0.0.4");
   });
 }
@@ -385,6 +392,16 @@
       [this](lease_manager_event e) { loop_.Post(std::move(e)); });
 }
 
+void sidecar_app::CallRecordStore(const row_call& call) {
+  const auto answered = [this](rows_reply reply) {
+    loop_.Post(worker_record_answered{std::move(reply)});
+  };
+  if (const auto* range = std::get_if<row_range>(&call))
+    record_store_.page(*range, answered);
+  else
+    record_store_.transact(std::get<row_transaction>(call), answered);
+}
+
 void sidecar_app::TakeDirectoryRows(const rows_reply& reply) {
   entries_found found;
   for (const stored_row& row : reply.rows) {
@@ -426,6 +443,8 @@
     links_.HangUp(hang->link, hang->epoch);
   else if (auto* call = std::get_if<lease_manager_action>(&action))
     CallWorker(*call);
+  else if (auto* record = std::get_if<call_record_store>(&action))
+    CallRecordStore(record->what);
   else
     drained_ = true;
 }
--- a/src/core/sidecar.cc
+++ b/src/core/sidecar.cc
@@ -716,6 +716,9 @@
     for (const directory_row& row : e.rows)
       UpdateDirectoryRow(s, row);
   }
+  void operator()(worker_record_answered& e) {
+    HandleRecordStoreAnswer(s, now, e.reply);
+  }
   void operator()(lease_manager_event& e) {
     HandleLeaseManagerEvent(s.lease_manager, now, std::move(e));
   }
@@ -779,6 +782,8 @@
   sidecar_state s;
   s.random.seed(options.seed);
   s.lease_manager = MakeLeaseManager(options.lease_manager);
+  s.worker_record = MakeWorkerRecord(
+      options.name, options.manages_leases && options.keeps_worker_record);
   s.options = std::move(options);
   for (const std::string& address : s.options.seeds)
     AddEntryAddress(s, address, true);
@@ -804,6 +809,7 @@
   ForgetEntries(s, now);
   ServeSlots(s, now);
   RunLeaseManager(s, now);
+  KeepWorkerRecord(s, now);
   CheckDrained(s, now);
   Flush(s, now);
   return std::move(s.actions);
--- a/src/core/sidecar_systems.h
+++ b/src/core/sidecar_systems.h
@@ -43,6 +43,14 @@
 // versions.
 void RelayOperatorState(sidecar_state& s, micros now);
 
+// ---- Worker record (sidecar_record.cc) --------------------------------------
+
+void HandleRecordStoreAnswer(sidecar_state& s,
+                             micros now,
+                             const rows_reply& reply);
+// Reads the record at the start and writes it when the worker has changed.
+void KeepWorkerRecord(sidecar_state& s, micros now);
+
 }  // namespace cassiaferry
 
 #endif  // CASSIAFERRY_SRC_CORE_SIDECAR_SYSTEMS_H_
