--- a/src/apps/emulate_main.cc
+++ b/src/apps/emulate_main.cc
@@ -31,6 +31,11 @@
             false,
             "with --days or --replay: sidecars have streams to two of five "
             "entries");
+DEFINE_bool(
+    worker_records,
+    false,
+    "with --days or --replay: sidecars keep records of their workers in "
+    "the store");
 DEFINE_bool(late_words,
             false,
             "with --days or --replay: announcements of past lives come late, "
@@ -85,7 +90,8 @@
           FLAGS_workers_keep_ids,
           FLAGS_closes_domains,
           FLAGS_late_words,
-          FLAGS_chooses_entries};
+          FLAGS_chooses_entries,
+          FLAGS_worker_records};
 }
 
 int PlayDays() {
--- a/src/emulator/durable_world.cc
+++ b/src/emulator/durable_world.cc
@@ -37,15 +37,32 @@
 
 void world::CallStore(int entry, const store_call& call) {
   const uint64_t life = entries[static_cast<size_t>(entry)].lives;
-  const auto answer = [this, entry, life, id = call.call](rows_reply reply,
-                                                          micros after) {
-    At(now + after, [this, entry, life, id, reply = std::move(reply)] {
-      if (entries[static_cast<size_t>(entry)].lives == life)
-        Post(entry, store_answered{id, reply});
+  AskStore(call.what, store_cut_until_[entry] > now,
+           [this, entry, life, id = call.call](rows_reply reply, micros after) {
+             At(now + after, [this, entry, life, id, reply = std::move(reply)] {
+               if (entries[static_cast<size_t>(entry)].lives == life)
+                 Post(entry, store_answered{id, reply});
+             });
+           });
+}
+
+void world::CallRecordStore(int sidecar, const row_call& call) {
+  const uint64_t life = sidecars[static_cast<size_t>(sidecar)].lives;
+  AskStore(call, false, [this, sidecar, life](rows_reply reply, micros after) {
+    At(now + after, [this, sidecar, life, reply = std::move(reply)] {
+      emulated_sidecar& s = sidecars[static_cast<size_t>(sidecar)];
+      if (s.lives != life || s.state == process_state::down)
+        return;
+      s.inbox.emplace_back(worker_record_answered{reply});
+      WakeSidecar(sidecar);
     });
-  };
-  const bool writes = std::holds_alternative<row_transaction>(call.what);
-  const bool cut = store_cut_until_[entry] > now;
+  });
+}
+
+void world::AskStore(const row_call& call,
+                     bool cut,
+                     const store_answer& answer) {
+  const bool writes = std::holds_alternative<row_transaction>(call);
   if (cut || store.silent) {
     answer({}, kStoreTimeout);
     return;
@@ -60,12 +77,12 @@
   if (writes && Chance() < store.late_share) {
     At(now + Millis(kLateFromMs +
                     static_cast<int64_t>(random() % (kLateToMs - kLateFromMs))),
-       [this, t = std::get<row_transaction>(call.what)] { Do(store, t); });
+       [this, t = std::get<row_transaction>(call)] { Do(store, t); });
     answer({}, kStoreTimeout);
     return;
   }
   const bool lost = writes && Chance() < store.lost_share;
-  At(now + half, [this, what = call.what, answer, half, lost] {
+  At(now + half, [this, what = call, answer, half, lost] {
     const rows_reply reply = std::visit(
         [this](const auto& call_made) { return Do(store, call_made); }, what);
     if (lost)
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -167,6 +167,7 @@
   for (int i = 0; i < options.entries; ++i)
     o.seeds.push_back(EntryAddress(i));
   o.manages_leases = true;
+  o.keeps_worker_record = options.keeps_worker_records;
   o.lease_manager.bounds = options.bounds;
   o.lease_manager.holds_unknown_ends = options.has_store;
   o.lease_manager.first_fence = static_cast<uint64_t>(ToMillis(now)) + s.lives;
@@ -444,6 +445,8 @@
     });
   } else if (auto* call = std::get_if<lease_manager_action>(&a)) {
     CallWorker(sidecar, *call);
+  } else if (auto* record = std::get_if<call_record_store>(&a)) {
+    CallRecordStore(sidecar, record->what);
   }
 }
 
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -68,7 +68,8 @@
   leased_admission admission = leased_admission::in_time;
   bool shares_across_entries = false;
   bool adapts_to_uneven_workers = false;
-  bool has_store = false;  // entries take durable jobs
+  bool has_store = false;             // entries take durable jobs
+  bool keeps_worker_records = false;  // sidecars, in the store
   // Of each entry's link, in each direction, shared by its streams and callers;
   // 0: no bound.
   int64_t entry_link_bytes_per_s = 0;
@@ -375,7 +376,10 @@
 
   // Durable jobs (durable_world.cc).
   void ApplyStoreFaults();
+  using store_answer = std::function<void(rows_reply, micros after)>;
+  void AskStore(const row_call& call, bool cut, const store_answer& answer);
   void CallStore(int entry, const store_call& call);
+  void CallRecordStore(int sidecar, const row_call& call);
   void Ask(const std::string& job);  // for its state, until it has ended
   void TakeState(const std::string& job, const answer_leased_state& answer);
   void TakeCancelled(const std::string& job, const answer_cancelled& answer);
--- a/src/emulator/seeded_day.cc
+++ b/src/emulator/seeded_day.cc
@@ -176,6 +176,7 @@
   options.one_way_cuts = day.one_way_cuts;
   options.workers_keep_ids = day.workers_keep_ids;
   options.late_words = day.late_words;
+  options.keeps_worker_records = day.keeps_worker_records;
   options.domains = day.closes_domains ? kClosingDomains : options.domains;
   if (day.chooses_entries)
     ChooseFewEntries(options);
--- a/src/emulator/seeded_day.h
+++ b/src/emulator/seeded_day.h
@@ -33,6 +33,8 @@
   bool late_words = false;
   // Sidecars have streams to two of five entries, and give them back.
   bool chooses_entries = false;
+  // Sidecars keep records of their workers in the store.
+  bool keeps_worker_records = false;
 };
 
 // One fault, for about `time`, of an entry, a sidecar, a worker or the link
