Fair shares of queues across entries: demand through sidecars, sums in the order

Cause: an entry ordered waiting jobs by the processors that its own runs use, about 60 tasks of one of thirteen entries, so that one wide job more or less reversed the order. Change: module system_demand. With "shares": "all_entries" an entry whose tasks wait sends its demand by queue on frames that are sent anyway; sidecars report the sums over the other entries, and the entry adds its current use. Leaving the receiver out at the sidecar needs no record of what was sent to whom, and can't subtract a demand that the sidecar hasn't received. demand_entries counts the receiver too, so that a report of no other entry replaces older sums. Status, metrics, log line.

--- a/include/cassiaferry/lease_manager.h
+++ b/include/cassiaferry/lease_manager.h
@@ -24,6 +24,7 @@
 
 #include "cassiaferry/ids.h"
 #include "cassiaferry/leases.h"
+#include "cassiaferry/system_demand.h"
 
 namespace cassiaferry {
 
@@ -254,6 +255,7 @@
   size_t ends_reported = 0;       // number of `ends` reported on this stream
   bool report_pending = false;    // a report should be sent now
   std::vector<straggler> stragglers;  // not reported yet
+  entry_demand demand;
 };
 
 struct lease_manager_state {
--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -30,6 +30,7 @@
 #include "cassiaferry/lateness.h"
 #include "cassiaferry/leases.h"
 #include "cassiaferry/metrics.h"
+#include "cassiaferry/system_demand.h"
 #include "cassiaferry/uplink.h"
 #include "cassiaferry/verdict.h"
 
@@ -288,6 +289,7 @@
   int64_t wanted_cpu = 0;
   micros wanted_since{0};           // since when tasks have been waiting
   bool requested_from_all = false;  // the report was requested from all workers
+  system_demand demand;             // of all entries
   uplink link;                      // uplink of this process's machine
   double logged_link_rate = 0;      // its bound as last logged
   lateness late;                    // lateness of this process
--- a/include/cassiaferry/leases.h
+++ b/include/cassiaferry/leases.h
@@ -209,10 +209,12 @@
   std::vector<straggler> stragglers;
   std::vector<run_end> unclaimed;  // held ends whose owner is silent or unknown
   received_frame last_received;
-  // Sums over the entries that have sent their demand here lately, by queue.
-  // Empty unless the receiver has sent its own.
+  // Sums over the other entries that have sent their demand here lately, by
+  // queue, if the receiver has sent its own. The receiver adds its current
+  // demand, which the sidecar knows only with a delay.
   std::vector<queue_demand> demand;
-  uint32_t demand_entries = 0;  // number of entries in these sums
+  // Number of entries with demand, the receiver included; 0: no sums are given.
+  uint32_t demand_entries = 0;
 };
 
 // ---- [6] Bounds -------------------------------------------------------------
--- a/src/core/entry.cc
+++ b/src/core/entry.cc
@@ -214,6 +214,22 @@
 
 }  // namespace
 
+namespace {
+
+nlohmann::json DemandStatus(const system_demand& d, micros now) {
+  nlohmann::json j = {{"in_use", HasCurrentSums(d, now)}};
+  if (!HasCurrentSums(d, now))
+    return j;
+  j["age_ms"] = ToMillis(now - d.received_at);
+  j["entries"] = d.entries;
+  for (const queue_demand& sum : SumsInUse(d, now))
+    j["queues"][sum.queue] = {{"cpu_in_use", sum.cpu_in_use},
+                              {"cpu_waiting", sum.cpu_waiting}};
+  return j;
+}
+
+}  // namespace
+
 nlohmann::json StatusOf(const entry_state& s, micros now) {
   nlohmann::json j = {
       {"entry", s.options.name},
@@ -246,6 +262,8 @@
   for (const auto& [name, team] : s.teams)
     j["teams"][name] = {{"waiting_tasks", team.waiting_tasks},
                         {"sent_tasks", team.sent_tasks}};
+  if (s.leased.options.shares_across_entries)
+    j["demand"] = DemandStatus(s.leased.demand, now);
   return j;
 }
 
--- a/src/core/lease_manager.cc
+++ b/src/core/lease_manager.cc
@@ -699,6 +699,26 @@
 
 // ---- [5] Reports ------------------------------------------------------------
 
+namespace {
+
+// Adds the sums over the other entries, if this owner has sent its own demand.
+void AttachDemand(const lease_manager_state& m,
+                  micros now,
+                  const run_owner& receiver,
+                  lease_reports& report) {
+  if (!IsCurrent(receiver.demand, now))
+    return;
+  for (const auto& [name, owner] : m.owners) {
+    if (!IsCurrent(owner.demand, now))
+      continue;
+    ++report.demand_entries;
+    if (&owner != &receiver)
+      AddDemand(report.demand, owner.demand.queues);
+  }
+}
+
+}  // namespace
+
 lease_reports ReportFor(lease_manager_state& m,
                         micros now,
                         incarnation owner_name) {
@@ -727,6 +747,7 @@
                             (now - owner.received_at).value};
   report.pace = static_cast<uint32_t>(std::max(0.0, m.pace) * 1000);
   report.stragglers.swap(owner.stragglers);
+  AttachDemand(m, now, owner, report);
   owner.report_pending = false;
   return report;
 }
--- a/src/core/lease_manager_orders.cc
+++ b/src/core/lease_manager_orders.cc
@@ -206,6 +206,7 @@
   AckEnds(m, owner, orders.acked_end);
   owner.wanted_cpu = orders.wanted_cpu;
   owner.follows_resources = orders.follows_resources;
+  RecordDemand(owner.demand, now, std::move(orders.demand));
   for (const run_ref& ref : orders.stops)
     HandleRunStop(m, now, owner_name, ref);
   const bool answers = owner_name == m.grantee && !orders.starts.empty();
--- a/src/core/leased_metrics.cc
+++ b/src/core/leased_metrics.cc
@@ -82,6 +82,8 @@
                static_cast<double>(ToMillis(s.late.last_loop_wait)));
   AppendMetric(out, "cassiaferry_leased_work_arriving_millicores", "",
                s.work_arriving);
+  if (s.options.shares_across_entries)
+    out += SystemDemandPrometheusText(s.demand, s.last_tick);
   for (const auto& [queue, latencies] : s.latencies) {
     const std::string label = "queue=\"" + queue + "\"";
     AppendHistogram(out, "cassiaferry_leased_queued_ms", label,
--- a/src/core/leased_order.cc
+++ b/src/core/leased_order.cc
@@ -66,7 +66,7 @@
 // processors. When capacity is short, queues that request little get all they
 // request, and those that request most go short.
 std::vector<ranked_job> InterleaveQueues(const std::vector<ranked_job>& jobs,
-                                         std::map<std::string, int64_t>& used) {
+                                         cpu_by_queue& used) {
   std::map<std::string, std::deque<ranked_job>> queues;
   for (const ranked_job& job : jobs)
     queues[job.job->queue.name].push_back(job);
@@ -99,7 +99,7 @@
         {&job, rank, KeyOf(s.options.order, job)});
   }
   const bool fair = s.options.order == leased_order::fair_share;
-  std::map<std::string, int64_t> used = s.cpu_in_use;
+  cpu_by_queue used = CpuInUseForShares(s.demand, s.cpu_in_use, now);
   std::vector<leased_seq> order;
   order.reserve(s.waiting.size());
   for (std::vector<ranked_job>& rank : ranks) {
--- a/src/core/leased_tick.cc
+++ b/src/core/leased_tick.cc
@@ -203,6 +203,38 @@
   }
 }
 
+void UpdateOwnDemand(leased_state& l, micros now) {
+  if (l.wanted_cpu != 0)
+    l.demand.last_waited = now;
+  if (!SendsDemand(l.demand, now))
+    return;
+  cpu_by_queue waiting;
+  for (leased_seq seq : l.waiting) {
+    const leased_job& job = l.jobs.at(seq);
+    waiting[job.queue.name] += WaitingCpu(job);
+  }
+  l.demand.own = MakeDemand(l.cpu_in_use, waiting);
+}
+
+void LogShares(entry_state& s, micros now) {
+  system_demand& d = s.leased.demand;
+  const bool in_use = HasCurrentSums(d, now);
+  if (in_use == d.logged_in_use)
+    return;
+  d.logged_in_use = in_use;
+  s.actions.push_back(
+      leased_decision{in_use ? "shares of all entries" : "own shares", "",
+                      "entries " + std::to_string(d.entries)});
+}
+
+// Keeps this entry's demand current for the frames of this tick.
+void TickSystemDemand(entry_state& s, micros now) {
+  if (!s.leased.options.shares_across_entries)
+    return;
+  UpdateOwnDemand(s.leased, now);
+  LogShares(s, now);
+}
+
 // Bounds the time of a shutdown: jobs that are still open at its end are
 // stopped, and their callers are answered before the process exits.
 void CloseJobs(entry_state& s, micros now) {
@@ -281,6 +313,7 @@
   PlaceOverdue(s, now);
   RefuseUnservable(s, now);
   RequestCapacityReports(s, now);
+  TickSystemDemand(s, now);
   TickDurableJobs(s, now);
 }
 
--- a/src/core/leased_workers.cc
+++ b/src/core/leased_workers.cc
@@ -383,6 +383,8 @@
     RecordArrived(s.leased.link, w.frames, now,
                   {micros{reports.last_received.sent},
                    reports.last_received.transit, reports.last_received.held});
+  if (s.leased.options.shares_across_entries)
+    RecordSums(s.leased.demand, now, reports);
   HandleConfirmedStarts(w, reports.starts_seen);
   HandleConfirmedResolutions(w, reports.resolved_seen);
   LogRefusedStarts(s, id, reports.ends);
@@ -428,6 +430,9 @@
   w.wanted_cpu_sent = s.leased.wanted_cpu != 0;
   frame.orders->follows_resources = w.follows;
   w.follows_sent = w.follows;
+  if (s.leased.options.shares_across_entries &&
+      SendsDemand(s.leased.demand, now))
+    frame.orders->demand = s.leased.demand.own;
   frame.orders->sent = now.value;
   RecordSent(s.leased.link, w.frames, now, FrameBytes(frame));
 }
