Entry: sheds callers' connections while it is short of processor time

Cause: callers keep their connections open, so an entry that acts late keeps its callers and refuses their requests while its peers are in time.

Change: with "shed_connections": "auto", an entry that has refused work for lateness for 500 ms reports not ready for 3 s. In the last of these it closes a third of the connections that have sent a request within a second, each after a complete answer to the only open request of the connection. The decision is a pure module (shedding.h). Requests carry the id of their connection, and the HTTP server tells whether a request is the only open one of its connection.

The effect on a deployment was not measured: the emulator plays no balancer.

--- a/include/cassiaferry/ids.h
+++ b/include/cassiaferry/ids.h
@@ -38,6 +38,8 @@
 using entry_id = strong_id<struct entry_tag, uint32_t>;
 // One caller's request inside an entry.
 using ticket_id = strong_id<struct ticket_tag, uint64_t>;
+// One connection to an HTTP server. Ids are not reused while it runs.
+using connection_id = strong_id<struct connection_tag, uint64_t>;
 // Grows with each accepted change; 0: none.
 using config_version = strong_id<struct config_tag, uint64_t>;
 
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -24,6 +24,7 @@
 #include "../net/row_watch.h"
 #include "cassiaferry/directory.h"
 #include "cassiaferry/entry.h"
+#include "cassiaferry/shedding.h"
 
 namespace cassiaferry {
 
@@ -108,8 +109,9 @@
   // Leased jobs (entry_leased.cc).
   bool HasLeasedJobs() const { return !settings_.callers.empty(); }
   void StartLeased();
-  void LogStart();    // after the ready line, which comes first
-  void TickLeased();  // on the control thread, before each tick
+  void LogStart();               // after the ready line, which comes first
+  void TickLeased();             // on the control thread, before each tick
+  void UpdateReady(micros now);  // too
   void DropCallersLeft(std::vector<entry_event>& events);  // too
   void OnCall(const http_request& r);
   void TakeCall(const http_request& r);  // on the control thread
@@ -122,6 +124,8 @@
   void CheckDirectoryRowAfter(micros delay);
   void ChangeReach(reach_changed change);
   void LogDecision(const leased_decision& decision);
+  void LogShedding(const shedding_decision& decision);
+  bool ClosesAfterAnswer(ticket_id ticket);
   void AnswerCaller(ticket_id ticket, http_response response);
   void ActLeased(entry_action& action);
 
@@ -201,6 +205,7 @@
   micros last_tick_{0};                      // control thread only
   micros next_look_at_callers_{0};           // control thread only
   bool store_connected_ = false;             // control thread only
+  shedding shedding_;                        // control thread only
   // Of this entry's row in the directory; control thread only, as what follows.
   directory_state directory_state_ = directory_state::due;
   micros next_directory_check_{0};
@@ -217,8 +222,8 @@
   std::map<std::string, peer_row> peers_;  // by HTTP address
   int first_round_open_ = 1;               // sources not yet heard at the start
   bool first_round_done_ = false;
-  std::atomic<bool> ready_{
-      false};  // has a configuration, first round done, not draining
+  std::atomic<bool> ready_{false};  // has a configuration, first round done,
+                                    // not draining, connections are not shed
 };
 
 }  // namespace cassiaferry
--- a/src/apps/entry_http.cc
+++ b/src/apps/entry_http.cc
@@ -194,7 +194,8 @@
       response.body = PrometheusText(state_.metrics, state_.policies);
       response.body += ClosedDomainsPrometheusText(state_.closed_domains);
       if (HasLeasedJobs())
-        response.body += LeasedPrometheusText(state_.leased);
+        response.body += LeasedPrometheusText(state_.leased) +
+                         SheddingPrometheusText(shedding_);
       http_->Answer(ticket, response);
     });
   } else if (r.path.starts_with(kJobs)) {
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -43,6 +43,7 @@
 // ---- [1] Start --------------------------------------------------------------
 
 void entry_app::StartLeased() {
+  shedding_.options.enabled = settings_.sheds_connections;
   http_server_options options;
   options.address = settings_.callers;
   options.threads = 1;
@@ -89,6 +90,7 @@
       return;
     ApplyLeaseSettings(settings, state_.options);
     state_.leased.options = state_.options.leased;
+    shedding_.options.enabled = settings.sheds_connections;
     LogEvent(kPart, "settings reloaded",
              {{"lease_ms", ToMillis(state_.options.leased.bounds.lease)},
               {"vouch_ms", ToMillis(state_.options.leased.bounds.owner_lease)},
@@ -111,6 +113,7 @@
 }
 
 void entry_app::TakeCall(const http_request& r) {
+  RecordRequest(shedding_, Now(), r.connection, r.ticket);
   if (state_.document.version.value == 0) {
     AnswerCaller(r.ticket, platform::NoConfigResponse());
     return;
@@ -276,7 +279,16 @@
   if (connected != store_connected_)
     LogEvent(kPart, connected ? "store reached" : "store lost", {});
   store_connected_ = connected;
-  ready_ = IsReady(state_) && !draining_;
+  UpdateReady(now);
+}
+
+void entry_app::UpdateReady(micros now) {
+  const shedding_decision decision = TickShedding(
+      shedding_,
+      {now, state_.leased.late.refuse_share, draining_, IsReady(state_)});
+  if (decision.change)
+    LogShedding(decision);
+  ready_ = decision.ready;
 }
 
 // Failure guarded against: a caller has left, and that isn't read: this process
@@ -306,11 +318,38 @@
   LogEvent(kPart, d.what, {{"job", d.job}, {"why", d.detail}});
 }
 
+void entry_app::LogShedding(const shedding_decision& d) {
+  const double late_ms = state_.leased.late.mean_us / 1000;
+  switch (*d.change) {
+    case shedding_change::readiness_withdrawn:
+      LogEvent(kPart, "readiness is withdrawn to shed connections",
+               {{"late_ms", late_ms}});
+      return;
+    case shedding_change::closing:
+      LogEvent(kPart, "connections are shed",
+               {{"late_ms", late_ms},
+                {"connections", d.active_connections},
+                {"to_close", shedding_.to_close}});
+      return;
+    case shedding_change::ended:
+      LogEvent(kPart, "connections were shed", {{"closed", shedding_.closed}});
+      return;
+  }
+}
+
+bool entry_app::ClosesAfterAnswer(ticket_id ticket) {
+  if (shedding_.phase != shedding_phase::closing)
+    return false;
+  const std::optional<connection_id> connection =
+      callers_->ConnectionOfOnly(ticket);
+  return connection && ClosesAfter(shedding_, *connection, ticket);
+}
+
 // A stopping entry ends each connection with its answer. Failure guarded
 // against: callers that keep an open connection until the process is gone, and
 // lose the request they have just sent.
 void entry_app::AnswerCaller(ticket_id ticket, http_response response) {
-  response.close = draining_;
+  response.close = draining_ || ClosesAfterAnswer(ticket);
   callers_->Answer(ticket, response);
 }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -99,6 +99,17 @@
     return tickets;
   }
 
+  std::optional<connection_id> ConnectionOfOnly(ticket_id ticket) const {
+    const std::lock_guard lock(mutex_);
+    const auto it = requests_.find(ticket);
+    if (it == requests_.end())
+      return std::nullopt;
+    const connection_key connection = it->second->connection_id();
+    if (by_connection_.count(connection) != 1)
+      return std::nullopt;
+    return connection_id{connection};
+  }
+
   // A socket may be closed, and its number in use again, before its connection
   // is taken out here; whatever is found then, the connection has ended.
   std::vector<ticket_id> Ended() const {
@@ -193,6 +204,7 @@
   const auto& header = request->header();
   http_request r;
   r.ticket = ticket;
+  r.connection = connection_id{request->connection_id()};
   r.method = header.method().c_str();
   r.path = std::string(header.path());
   r.query = std::string(header.query());
@@ -346,6 +358,11 @@
   return impl_->pending.Ended();
 }
 
+std::optional<connection_id> http_server::ConnectionOfOnly(
+    ticket_id ticket) const {
+  return impl_->pending.ConnectionOfOnly(ticket);
+}
+
 size_t http_server::Pending() const {
   return impl_->pending.Size();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,10 +17,11 @@
 namespace cassiaferry {
 
 struct http_request {
-  ticket_id ticket;    // names the request until it is answered
-  std::string method;  // "POST"
-  std::string path;    // without the query
-  std::string query;   // without the question mark
+  ticket_id ticket;          // names the request until it is answered
+  connection_id connection;  // that it came on
+  std::string method;        // "POST"
+  std::string path;          // without the query
+  std::string query;         // without the question mark
   std::string body;
   std::string authorization;  // the header's value, empty if absent
   std::string if_match;
@@ -77,6 +79,9 @@
   // that is still unread and `on_gone` not yet called. Any thread; a call of
   // the kernel.
   std::vector<ticket_id> CallersLeft() const;
+  // The connection of a request, if that is its only one not yet answered. Any
+  // thread.
+  std::optional<connection_id> ConnectionOfOnly(ticket_id ticket) const;
   void Stop();
 
  private:
