--- a/model/check.sh
+++ b/model/check.sh
@@ -59,5 +59,7 @@
 for m in LAST_ARRIVAL_WINS NO_READ_VERSION KEEPS_OLD_VERSION NO_GATE NO_RELAY; do expect violated closed_domains $m; done
 expect holds neighbours
 for m in SIDECAR_CLOSES CLOSES_WITH_OPEN ONLY_NEIGHBOURS; do expect violated neighbours $m; done
+expect holds worker_record
+for m in NO_CONDITION NO_START_TIME COUNTS_IMMEDIATELY KEEPS_RECORD; do expect violated worker_record $m; done
 echo "model: $passed as expected, $failed not"
 [ "$failed" = 0 ]
