--- a/tests/system_demand_unit_test.cc
+++ b/tests/system_demand_unit_test.cc
@@ -18,6 +18,7 @@
 #include "core/entry_systems.h"
 #include "core/leased_order.h"
 #include "emulator/load_play.h"
+#include "net/codec.h"
 
 namespace cassiaferry::emulator {
 namespace {
@@ -77,11 +78,19 @@
     return s.leased.jobs.at(ServeOrder(s.leased, now).front()).queue.name;
   }
 
-  // The orders in the next frame to a sidecar.
-  lease_orders NextOrders() {
+  entry_frame NextFrame() {
     entry_frame frame;
     AttachOrders(s, now, worker_id{0}, frame);
-    return *frame.orders;
+    return frame;
+  }
+
+  // The orders in the next frame to a sidecar.
+  lease_orders NextOrders() { return *NextFrame().orders; }
+
+  // As the tick does while tasks wait.
+  void TasksWait() {
+    s.leased.demand.last_waited = now;
+    s.leased.demand.own = MakeDemand(s.leased.cpu_in_use, {{"wide", 2000}});
   }
 
   micros now = Millis(5000);
@@ -194,8 +203,7 @@
 TEST_CASE_METHOD(entry_with_two_queues,
                  "orders_carry_demand_until_a_second_after_tasks_waited") {
   CHECK(NextOrders().demand.empty());
-  s.leased.demand.last_waited = now;
-  s.leased.demand.own = MakeDemand(s.leased.cpu_in_use, {{"wide", 2000}});
+  TasksWait();
   const std::vector<queue_demand> expected = {{"narrow", 1000, 0},
                                               {"wide", 3000, 2000}};
   CHECK(NextOrders().demand == expected);
@@ -208,10 +216,11 @@
 // Guards against changed frames and decisions without the option.
 TEST_CASE_METHOD(entry_with_two_queues,
                  "entry_without_option_sends_no_demand_and_uses_no_sums") {
+  const std::string before = ToWire(NextFrame()).SerializeAsString();
+  TasksWait();
+  CHECK(ToWire(NextFrame()).SerializeAsString() != before);
   s.leased.options.shares_across_entries = false;
-  s.leased.demand.last_waited = now;
-  s.leased.demand.own = MakeDemand(s.leased.cpu_in_use, {{"wide", 2000}});
-  CHECK(NextOrders().demand.empty());
+  CHECK(ToWire(NextFrame()).SerializeAsString() == before);
   lease_reports reports;
   reports.demand = {{"narrow", 9000, 0}};
   reports.demand_entries = 2;
