Run-time estimates: unbiased after an entry's start, and the median

Cause: a restarted entry learns run times from the runs that end first, which are the short ones, and refuses jobs that could be in time. Later a decaying mean is inflated by slow workers and by tails.

Change: with adapts_to_uneven_workers, a run counts only once its queue has been observed, since its first start, for three times the run's declared time, and the ratio tracks the median in steps of 2%. The estimate is a module of its own (run_estimates.h). With the option off, the decaying mean is as before.

--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -30,6 +30,7 @@
 #include "cassiaferry/lateness.h"
 #include "cassiaferry/leases.h"
 #include "cassiaferry/metrics.h"
+#include "cassiaferry/run_estimates.h"
 #include "cassiaferry/uplink.h"
 #include "cassiaferry/verdict.h"
 
@@ -191,12 +192,6 @@
   micros probe_pause{0};
 };
 
-// Estimates from a queue's finished jobs.
-struct queue_estimate {
-  double ratio = 1;   // run time relative to the declared time, decayed
-  double margin = 1;  // most jobs take less than the estimate times this
-};
-
 // ---- [4] State --------------------------------------------------------------
 
 // Which job's tasks get freed capacity first, among jobs of the same rank.
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -22,7 +22,6 @@
 
 // A late answer is of some use within this many times the on-time bound.
 constexpr int64_t kUselessFactor = 3;
-constexpr double kEstimateDecay = 0.95;
 constexpr double kFailureShareDecay = 0.8;
 // A worker that refused a start gets no other one for this long.
 constexpr micros kAvoidAfterRefusal = Millis(5);
@@ -478,11 +477,11 @@
     RecordBadProbe(w, now);
   if (end.kind != run_end_kind::done || declared <= 0)
     return;
-  queue_estimate& estimate = s.leased.estimates[job.queue.name];
-  const double ratio =
-      static_cast<double>(end.run_ms) / static_cast<double>(declared);
-  estimate.ratio =
-      estimate.ratio * kEstimateDecay + ratio * (1 - kEstimateDecay);
+  const estimate_method method = s.leased.options.adapts_to_uneven_workers
+                                     ? estimate_method::unbiased_median
+                                     : estimate_method::decaying_mean;
+  RecordRunTime(s.leased.estimates[job.queue.name], {declared, end.run_ms},
+                method, now);
 }
 
 }  // namespace
--- a/src/core/leased_placing.cc
+++ b/src/core/leased_placing.cc
@@ -45,9 +45,11 @@
   w.in_flight.push_back({w.starts_sent, need, now});
   w.in_flight_resources = w.in_flight_resources + need;
   w.open_runs.emplace(RefOf(row), job.seq);
-  const double ratio = s.leased.estimates[job.queue.name].ratio;
+  queue_estimate& estimate = s.leased.estimates[job.queue.name];
+  RecordFirstStart(estimate, now);
   const auto expected_ms = static_cast<uint32_t>(
-      static_cast<double>(job.steps[row.task.step].expected_ms) * ratio);
+      static_cast<double>(job.steps[row.task.step].expected_ms) *
+      estimate.ratio);
   OrdersFor(s, id).starts.push_back({RefOf(row), need, expected_ms, job.payload,
                                      job.durable.stage != durable_stage::none,
                                      job.payload_compressed});
