Uneven workers: placement by the time a task takes, bounded moves

Cause: a worker's slowness costs the same for every job, so long jobs end late on slow workers while short ones use the fast ones. Moves off slow workers discard work without a bound, also where the run would end later elsewhere.

Change: with adapts_to_uneven_workers, and while some worker's pace is below 0.8 of the usual one, a task that would be late on a worker but not on a usual one avoids it, and a task in time anywhere leaves fast workers free. A run is moved only if it ends sooner elsewhere, and while less than 2% of the work done has been discarded; off a stalled worker it is moved in any case. Metrics for estimates, paces and moves; log line when workers become uneven.

--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -31,6 +31,7 @@
 #include "cassiaferry/leases.h"
 #include "cassiaferry/metrics.h"
 #include "cassiaferry/run_estimates.h"
+#include "cassiaferry/uneven_workers.h"
 #include "cassiaferry/uplink.h"
 #include "cassiaferry/verdict.h"
 
@@ -266,6 +267,12 @@
   std::vector<leased_worker> workers;               // by worker_id
   std::map<std::string, queue_estimate> estimates;  // by queue
   std::map<std::string, double> usual_pace;         // of workers, by upstream
+  // Upstreams some of whose workers are much slower than usual.
+  std::set<std::string> uneven_upstreams;
+  std::set<std::string> logged_uneven;  // as last logged
+  micros uneven_logged_at{0};
+  move_budget budget_of_moves;
+  move_counters moves;
   std::map<std::string, int64_t> cpu_in_use;  // by queue; thousandths of a core
   // Rate at which work arrives, as the processors needed to keep up with it, in
   // thousandths of a core: decayed mean, its value one sample earlier, and the
--- a/src/core/leased_choice.cc
+++ b/src/core/leased_choice.cc
@@ -48,7 +48,7 @@
 double Cost(const leased_worker& w,
             const resource_request& wanted,
             bool is_far,
-            double usual_pace,
+            double pace_cost,
             micros now) {
   constexpr double kFailingWeight = 4;
   constexpr double kPartWeight = 1;
@@ -59,14 +59,12 @@
   const double used =
       1 - static_cast<double>(left.cpu) /
               static_cast<double>(std::max<int64_t>(1, w.info.capacity.cpu));
-  const double slowness = usual_pace / std::max(0.05, w.pace) - 1;
   const double missing =
       1 - static_cast<double>(TasksThatFit(w, wanted)) / wanted.tasks;
   const double age =
       std::min(1.0, static_cast<double>((now - w.report_received_at).value) /
                         kStaleReportAge.value);
-  const double health_cost =
-      std::clamp(slowness, 0.0, 4.0) + w.failure_share * kFailingWeight;
+  const double health_cost = pace_cost + w.failure_share * kFailingWeight;
   // A recovery shows only if the worker gets a run.
   const bool probe_due =
       w.probe_pause.value != 0 && w.open_runs.empty() && now >= w.probe_after;
@@ -74,6 +72,43 @@
          missing * kPartWeight + (is_far ? kFarWeight : 0);
 }
 
+// Declared time of the longest chain of steps after the given one.
+int64_t DeclaredAfterMs(const leased_job& job, uint32_t step) {
+  std::vector<int64_t> before(job.steps.size(), -1);
+  before[step] = 0;
+  int64_t longest = 0;
+  for (size_t i = step + 1; i < job.steps.size(); ++i) {
+    for (uint32_t earlier : job.steps[i].after)
+      before[i] = std::max(before[i], before[earlier]);
+    if (before[i] < 0)
+      continue;
+    before[i] += job.steps[i].expected_ms;
+    longest = std::max(longest, before[i]);
+  }
+  return longest;
+}
+
+pace_request PaceRequest(entry_state& s,
+                         micros now,
+                         const leased_job& job,
+                         uint32_t step) {
+  leased_state& l = s.leased;
+  pace_request request;
+  request.usual_pace = l.usual_pace[job.queue.upstream];
+  request.by_time_left = l.options.adapts_to_uneven_workers &&
+                         l.uneven_upstreams.count(job.queue.upstream) != 0;
+  if (!request.by_time_left)
+    return request;
+  const double ratio = l.estimates[job.queue.name].ratio;
+  request.expected_ms =
+      static_cast<double>(job.steps[step].expected_ms) * ratio;
+  const double later_ms = static_cast<double>(DeclaredAfterMs(job, step)) *
+                          ratio / std::max(kMinPace, request.usual_pace);
+  request.left_ms =
+      static_cast<double>((job.late_after - now).value) / 1000 - later_ms;
+  return request;
+}
+
 // Keeps only workers with the step's preferred label, if any fit. A task takes
 // longer away from its data, but may still be done sooner there than after a
 // wait, so other workers are used when the preferred ones are full.
@@ -190,12 +225,13 @@
       fitting.push_back(worker_id{i});
   }
   KeepPreferred(s, needs, fitting);
+  const pace_request pace = PaceRequest(s, now, job, step);
   std::optional<worker_id> best;
   double best_cost = 0;
   for (worker_id id : DrawChoices(s, std::move(fitting))) {
+    const leased_worker& w = s.leased.workers[id.value];
     const double cost =
-        Cost(s.leased.workers[id.value], {needs.need, tasks}, IsFar(s, id),
-             s.leased.usual_pace[job.queue.upstream], now);
+        Cost(w, {needs.need, tasks}, IsFar(s, id), PaceCost(pace, w.pace), now);
     if (!best || cost < best_cost) {
       best = id;
       best_cost = cost;
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -482,6 +482,10 @@
                                      : estimate_method::decaying_mean;
   RecordRunTime(s.leased.estimates[job.queue.name], {declared, end.run_ms},
                 method, now);
+  RecordDone(s.leased.budget_of_moves,
+             static_cast<double>(job.steps[row.task.step].need.cpu) *
+                 static_cast<double>(end.run_ms),
+             now);
 }
 
 }  // namespace
--- a/src/core/leased_metrics.cc
+++ b/src/core/leased_metrics.cc
@@ -56,6 +56,27 @@
         static_cast<double>(ends[i]));
 }
 
+void AppendUnevenWorkers(std::string& out, const leased_state& s) {
+  for (const auto& [queue, estimate] : s.estimates) {
+    const std::string label = "queue=\"" + queue + "\"";
+    AppendMetric(out, "cassiaferry_estimate_ratio", label, estimate.ratio);
+    AppendMetric(out, "cassiaferry_estimate_margin", label, estimate.margin);
+  }
+  for (const auto& [upstream, pace] : s.usual_pace)
+    AppendMetric(out, "cassiaferry_usual_pace", "upstream=\"" + upstream + "\"",
+                 pace);
+  AppendMetric(out, "cassiaferry_moves_total", "",
+               static_cast<double>(s.moves.moves));
+  const std::pair<const char*, uint64_t> declined[] = {
+      {"no_gain", s.moves.no_gain},
+      {"no_budget", s.moves.no_budget},
+      {"no_capacity", s.moves.no_capacity}};
+  for (const auto& [why, count] : declined)
+    AppendMetric(out, "cassiaferry_moves_declined_total",
+                 std::string("why=\"") + why + "\"",
+                 static_cast<double>(count));
+}
+
 }  // namespace
 
 std::string LeasedPrometheusText(const leased_state& s) {
@@ -82,6 +103,7 @@
                static_cast<double>(ToMillis(s.late.last_loop_wait)));
   AppendMetric(out, "cassiaferry_leased_work_arriving_millicores", "",
                s.work_arriving);
+  AppendUnevenWorkers(out, s);
   for (const auto& [queue, latencies] : s.latencies) {
     const std::string label = "queue=\"" + queue + "\"";
     AppendHistogram(out, "cassiaferry_leased_queued_ms", label,
--- a/src/core/leased_systems.h
+++ b/src/core/leased_systems.h
@@ -124,7 +124,9 @@
                 worker_id id,
                 const leased_job& job,
                 const leased_step& step);
+// Also finds the upstreams with uneven workers.
 void MeasureUsualPace(leased_state& l);
+void LogUnevenWorkers(entry_state& s, micros now);
 // Ends the runs on workers that have been silent for long enough.
 void EndLostRuns(entry_state& s, micros now);
 
--- a/src/core/leased_tick.cc
+++ b/src/core/leased_tick.cc
@@ -271,6 +271,7 @@
              std::max(s.leased.late.loop_wait, s.leased.late.last_loop_wait));
   LogLinkRate(s);
   LogLateness(s, now);
+  LogUnevenWorkers(s, now);
   EndLostRuns(s, now);
   RecordCapacityGrowth(s, now);
   MeasureArrivals(s.leased, now);
--- a/src/core/leased_workers.cc
+++ b/src/core/leased_workers.cc
@@ -83,10 +83,34 @@
 
 void MeasureUsualPace(leased_state& l) {
   l.usual_pace.clear();
+  l.uneven_upstreams.clear();
   for (const leased_worker& w : l.workers) {
     if (w.known && l.usual_pace.count(w.info.upstream) == 0)
       l.usual_pace[w.info.upstream] = UsualPace(l, w.info.upstream);
   }
+  for (const leased_worker& w : l.workers) {
+    if (w.known && w.takes_work &&
+        IsUnevenPace(w.pace, l.usual_pace[w.info.upstream]))
+      l.uneven_upstreams.insert(w.info.upstream);
+  }
+}
+
+// Logs when an upstream's workers become uneven or even. The paces of workers
+// vary around the limit, so this is done once a second at most.
+void LogUnevenWorkers(entry_state& s, micros now) {
+  constexpr micros kEvery = Millis(1000);
+  leased_state& l = s.leased;
+  if (!l.options.adapts_to_uneven_workers ||
+      l.uneven_upstreams == l.logged_uneven ||
+      now - l.uneven_logged_at < kEvery)
+    return;
+  l.uneven_logged_at = now;
+  l.logged_uneven = l.uneven_upstreams;
+  std::string upstreams;
+  for (const std::string& upstream : l.uneven_upstreams)
+    upstreams += (upstreams.empty() ? "" : " ") + upstream;
+  s.actions.push_back(leased_decision{
+      upstreams.empty() ? "workers even" : "workers uneven", "", upstreams});
 }
 
 namespace {
@@ -317,6 +341,46 @@
   return false;
 }
 
+double CpuOf(const leased_job& job, const leased_task_row& row) {
+  return static_cast<double>(job.steps[row.task.step].need.cpu);
+}
+
+// Counts why a move was declined. Returns whether to move.
+bool CountDecision(move_counters& c, move_decision decision) {
+  c.no_gain += decision == move_decision::no_gain ? 1 : 0;
+  c.no_budget += decision == move_decision::no_budget ? 1 : 0;
+  return decision == move_decision::move;
+}
+
+// Whether to stop the run now. A stalled worker's run is stopped in any case.
+bool DecideMove(entry_state& s,
+                micros now,
+                worker_id id,
+                const leased_job& job,
+                const leased_task_row& row,
+                const straggler& slow) {
+  leased_state& l = s.leased;
+  const leased_worker& w = l.workers[id.value];
+  const leased_step& step = job.steps[row.task.step];
+  const double left = (100.0 - slow.percent) / 100;
+  if (IsSlow(s, w, left * kStalledPaceShare))
+    return true;
+  if (!IsSlow(s, w, left * kMoveBelowPaceShare))
+    return false;
+  if (!AnotherWorkerHasCapacity(s, id, job, step)) {
+    ++l.moves.no_capacity;
+    return false;
+  }
+  if (!l.options.adapts_to_uneven_workers)
+    return true;
+  const double expected_ms =
+      static_cast<double>(step.expected_ms) * l.estimates[job.queue.name].ratio;
+  return CountDecision(
+      l.moves,
+      DecideMove({w.pace, l.usual_pace[w.info.upstream], expected_ms, left},
+                 l.budget_of_moves, now));
+}
+
 // Stops a run on a slow worker if the task would be done sooner elsewhere. The
 // task waits again only once the end of the run is reported, so two runs never
 // overlap. On a worker as fast as others a long run is just a long task and is
@@ -334,14 +398,13 @@
       job == nullptr ? nullptr : FindTask(*job, slow.ref.task);
   if (row == nullptr || row->moving || row->moves >= kMaxMoves)
     return;
-  const double left = (100.0 - slow.percent) / 100;
-  const bool gains =
-      IsSlow(s, w, left * kMoveBelowPaceShare) &&
-      AnotherWorkerHasCapacity(s, id, *job, job->steps[row->task.step]);
-  if (!gains && !IsSlow(s, w, left * kStalledPaceShare))
+  if (!DecideMove(s, now, id, *job, *row, slow))
     return;
   row->moving = true;
   ++row->moves;
+  ++s.leased.moves.moves;
+  RecordDiscarded(s.leased.budget_of_moves, CpuOf(*job, *row) * slow.run_ms,
+                  now);
   RecordBadProbe(s.leased.workers[id.value], now);
   OrdersFor(s, id).stops.push_back(slow.ref);
   LogJob(s, "run stopped to move it", *job,
