--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -30,7 +30,9 @@
 #include "cassiaferry/lateness.h"
 #include "cassiaferry/leases.h"
 #include "cassiaferry/metrics.h"
+#include "cassiaferry/run_estimates.h"
 #include "cassiaferry/system_demand.h"
+#include "cassiaferry/uneven_workers.h"
 #include "cassiaferry/uplink.h"
 #include "cassiaferry/verdict.h"
 
@@ -192,12 +194,6 @@
   micros probe_pause{0};
 };
 
-// Estimates from a queue's finished jobs.
-struct queue_estimate {
-  double ratio = 1;   // run time relative to the declared time, decayed
-  double margin = 1;  // most jobs take less than the estimate times this
-};
-
 // ---- [4] State --------------------------------------------------------------
 
 // Which job's tasks get freed capacity first, among jobs of the same rank.
@@ -272,6 +268,12 @@
   std::vector<leased_worker> workers;               // by worker_id
   std::map<std::string, queue_estimate> estimates;  // by queue
   std::map<std::string, double> usual_pace;         // of workers, by upstream
+  // Upstreams some of whose workers are much slower than usual.
+  std::set<std::string> uneven_upstreams;
+  std::set<std::string> logged_uneven;  // as last logged
+  micros uneven_logged_at{0};
+  move_budget budget_of_moves;
+  move_counters moves;
   std::map<std::string, int64_t> cpu_in_use;  // by queue; thousandths of a core
   // Rate at which work arrives, as the processors needed to keep up with it, in
   // thousandths of a core: decayed mean, its value one sample earlier, and the
