Worker record: the line of the read has its name; the first tick comes at once

Cause: a trial of the program showed a line without its name (it pointed to an array of the function that had returned), and the read at the first tick, which came after 50 ms. Change: the name is a literal; with a record kept, the first tick isn't waited for. A test checks the names of the lines.

--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -168,8 +168,12 @@
 
 void sidecar_app::Start(const json& settings) {
   worker_address_ = settings.value("worker", "");
-  if (state_.options.keeps_worker_record)
+  if (state_.options.keeps_worker_record) {
     record_store_ = platform::MakeRowStore(http_, settings["store"]);
+    // The record is read in the first tick, which otherwise comes after
+    // kIdleTick, half of the time in which the worker is to take work.
+    loop_.TickWithin(std::chrono::milliseconds{0});
+  }
   if (settings.contains("store"))
     WatchDirectory(settings["store"]);
   http_server_options options;
--- a/src/core/worker_record.cc
+++ b/src/core/worker_record.cc
@@ -135,7 +135,7 @@
 }
 
 record_outcome HandleRead(worker_record_state& r, const rows_reply& reply) {
-  constexpr char kRead[] = "worker record read";
+  constexpr const char* kRead = "worker record read";
   if (reply.status != store_status::ok) {
     ++r.counters.no_answer;
     return {std::nullopt, kRead, "the store does not answer"};
--- a/tests/worker_record_unit_test.cc
+++ b/tests/worker_record_unit_test.cc
@@ -150,6 +150,16 @@
   REQUIRE(!record.NextAfter(Millis(9000)));
 }
 
+// Guards against log lines without their name: the text must outlive the call.
+TEST_CASE_METHOD(one_record, "record_calls_answered_log_lines_have_names") {
+  REQUIRE(std::string(record.Exchange().what) == "worker record read");
+  SetWantedRecord(record.r, Worker("first", 1000));
+  REQUIRE(std::string(record.Exchange().what) == "worker record written");
+  SetWantedRecord(record.r, Worker("second", 1000));
+  store.rows.clear();
+  REQUIRE(std::string(record.Exchange().what) == "worker record not written");
+}
+
 // Guards against use of a malformed row or, as a page of one row begins with
 // the next key if there is none, of another sidecar's row.
 TEST_CASE_METHOD(one_record, "record_absent_or_malformed_names_no_worker") {
