--- a/src/apps/entry_http.cc
+++ b/src/apps/entry_http.cc
@@ -13,6 +13,7 @@
 
 #include "app.h"
 #include "entry_app.h"
+#include "event_log.h"
 
 namespace cassiaferry {
 
@@ -196,6 +197,7 @@
       if (HasLeasedJobs())
         response.body += LeasedPrometheusText(state_.leased) +
                          SheddingPrometheusText(shedding_);
+      response.body += LogMetricsText();
       http_->Answer(ticket, response);
     });
   } else if (r.path.starts_with(kJobs)) {
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -271,6 +271,7 @@
 void entry_app::TickLeased() {
   const micros now = Now();
   RecordLoopWait(state_.leased.late, loop_.Waited());
+  state_.leased.logs_routine = LogsRoutine();
   config_watch_->Tick(now);
   if (directory_state_ == directory_state::due && now >= next_directory_check_)
     CheckDirectoryRow();
@@ -315,7 +316,13 @@
 // ---- [4] Answers and log ----------------------------------------------------
 
 void entry_app::LogDecision(const leased_decision& d) {
-  LogEvent(kPart, d.what, {{"job", d.job}, {"why", d.detail}});
+  if (d.omitted) {
+    CountOmittedRoutine(d.what);
+    return;
+  }
+  LogEvent(kPart, d.what, d.line_class, d.sampled, [&d] {
+    return json::object({{"job", d.job}, {"why", d.detail}});
+  });
 }
 
 void entry_app::LogShedding(const shedding_decision& d) {
