Shedding: the time not ready is counted from the start of the process

Cause: the first 10 s were left out of the time of which a tenth may be not ready, so a first period began 37 s after the start; an entry that is late within its first half minute refused its callers' requests until then. Change: all time counts, one option less; the earliest is 27 s.

--- a/include/cassiaferry/shedding.h
+++ b/include/cassiaferry/shedding.h
@@ -36,11 +36,9 @@
   micros notice_time = Millis(2000);
   micros close_time = Millis(1000);  // after that; connections are closed
   micros min_gap = Millis(10'000);   // from one period to the next
-  // Bounds the time that the entry is not ready, for whatever reason. At an
-  // eighth it would fail its availability obligation. The time after the
-  // start of the process is not counted.
+  // Bounds the time that the entry is not ready, for whatever reason, since its
+  // start. At an eighth it would fail its availability obligation.
   int64_t ready_parts = 10;  // at most one part in so many is not ready
-  micros uncounted_after_start = Millis(10'000);
   // A connection is active if it has sent a request within this time.
   micros active_within = Millis(1000);
   size_t closed_parts = 3;  // one active connection in so many is closed
@@ -66,7 +64,7 @@
   micros period_start{0};
   micros last_tick{0};
   micros last_prune{0};
-  micros unready_time{0};  // counted part of the time not ready
+  micros unready_time{0};  // since `started`
   bool was_ready = true;   // from the last tick on
   size_t to_close = 0;     // in this period
   size_t closed = 0;       // in this period
--- a/src/core/shedding.cc
+++ b/src/core/shedding.cc
@@ -25,10 +25,8 @@
     s.started = now;
     s.last_tick = now;
   }
-  const micros counted_from = *s.started + s.options.uncounted_after_start;
-  const micros since = std::max(s.last_tick, counted_from);
-  if (!s.was_ready && now > since)
-    s.unready_time = s.unready_time + (now - since);
+  if (!s.was_ready)
+    s.unready_time = s.unready_time + (now - s.last_tick);
   s.last_tick = now;
 }
 
@@ -36,10 +34,9 @@
 // The share is largest at the end of the period.
 bool StaysWithinBound(const shedding& s, micros now) {
   const micros length = PeriodLength(s.options);
-  const micros counted =
-      now + length - (*s.started + s.options.uncounted_after_start);
+  const micros since_start = now + length - *s.started;
   return (s.unready_time + length).value * s.options.ready_parts <=
-         counted.value;
+         since_start.value;
 }
 
 void TrackLateness(shedding& s, const shedding_inputs& in) {
