Entry: log and count how long callers' requests lie unread, and by what rate a wait is predicted

The log could not tell an entry whose frames are in time, and whose callers' requests wait, from one that keeps up. Now: the longest wait of a request in the lines on lateness, a line when it is over 100 ms, how long a request had waited that is not taken, a histogram; and in a refusal for want of room the rate that the prediction rests on and the work that arrives.

No change of logic.

--- a/include/cassiaferry/lateness.h
+++ b/include/cassiaferry/lateness.h
@@ -69,7 +69,10 @@
   uint64_t frames = 0;          // frames in this interval
   micros loop_wait{0};  // longest wait of an event for a tick in this interval
   micros last_loop_wait{0};  // same, in the previous interval
-  micros interval_start{0};  // start of this interval
+  // Longest time that a caller's request lay unread in this interval.
+  micros request_wait{0};
+  micros last_request_wait{0};  // same, in the previous interval
+  micros interval_start{0};     // start of this interval
   bool is_late = false;
   double refuse_share = 0;  // refused share of new work; the rest stays in time
 };
@@ -81,6 +84,9 @@
 // Records how long an event waited in this process for the tick that handles
 // it.
 void RecordLoopWait(lateness& l, micros waited);
+// Records how long a caller's request lay on this machine before it was
+// handled.
+void RecordRequestWait(lateness& l, micros waited);
 // Call each tick. Returns the new value of `is_late` if it has changed.
 std::optional<bool> TickLateness(lateness& l, micros now);
 // Whether a job with `spare` time beyond its own work can't finish in time
--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -241,6 +241,7 @@
 
 // Latencies of one queue's jobs, in milliseconds.
 struct queue_latencies {
+  latency_histogram unread;    // from arrival on this machine to acceptance
   latency_histogram queued;    // from arrival to the first start
   latency_histogram response;  // from arrival to the answer "completed"
 };
@@ -300,6 +301,7 @@
   uplink link;                      // uplink of this process's machine
   double logged_link_rate = 0;      // its bound as last logged
   lateness late;                    // lateness of this process
+  micros request_waits_logged_at{0};
   micros last_tick{0};
   micros last_follow{0};  // when the workers to follow were last chosen
   micros recovery_until{0};
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -164,9 +164,12 @@
   // time, and starts a job whose caller has left and sent it again elsewhere;
   // the end of the connection lies behind the request, still unread.
   if (r.caller_left && !event.request.durable) {
+    const micros waited = Now() - r.received;
+    RecordRequestWait(state_.leased.late, waited);
     LogEvent(kPart, "job not taken",
              {{"job", event.request.id},
-              {"why", "its caller had left when it was read"}});
+              {"why", "its caller had left when it was read"},
+              {"unread_ms", ToMillis(waited)}});
     return;
   }
   loop_.Post(std::move(event));
--- a/src/core/lateness.cc
+++ b/src/core/lateness.cc
@@ -38,10 +38,15 @@
   l.loop_wait = std::max(l.loop_wait, waited);
 }
 
+void RecordRequestWait(lateness& l, micros waited) {
+  l.request_wait = std::max(l.request_wait, waited);
+}
+
 void RestartInterval(lateness& l, micros now) {
   l.sum_us = 0;
   l.frames = 0;
   l.loop_wait = {};
+  l.request_wait = {};
   l.interval_start = now;
 }
 
@@ -69,6 +74,7 @@
   l.refuse_share =
       std::clamp(l.refuse_share + change, 0.0, l.options.max_refuse_share);
   l.last_loop_wait = l.loop_wait;
+  l.last_request_wait = l.request_wait;
   RestartInterval(l, now);
   const micros bound =
       l.is_late ? l.options.in_time_below : l.options.late_above;
--- a/src/core/leased_admission.cc
+++ b/src/core/leased_admission.cc
@@ -79,11 +79,7 @@
   s.arrivals_measured_at = now;
 }
 
-namespace {
-
-// Rate at which work is done, in thousandths of a core: a core in use does one
-// core-second of work a second. Work ahead of a job takes its core-seconds
-// divided by the processors in use and free.
+// A core in use does one core-second of work a second.
 // Failure guarded against: after an outage few processors are in use yet; if
 // free ones didn't count, jobs would be refused while workers are idle.
 double WorkRate(const leased_state& s, int64_t free_cpu) {
@@ -93,8 +89,6 @@
   return rate;
 }
 
-}  // namespace
-
 double DrainMs(const leased_state& s, int64_t free_cpu) {
   double work = 0;  // thousandths of a core times microseconds
   for (leased_seq seq : s.waiting) {
--- a/src/core/leased_admission.h
+++ b/src/core/leased_admission.h
@@ -25,6 +25,9 @@
 // its start.
 void UpdateDurationMargin(leased_state& s, const leased_job& job, micros took);
 
+// Rate at which work is done, in thousandths of a core: the processors in use
+// and free. Work ahead of a job takes its core-seconds divided by this.
+double WorkRate(const leased_state& s, int64_t free_cpu);
 // Time to finish all waiting work at the current rate, in milliseconds.
 double DrainMs(const leased_state& s, int64_t free_cpu);
 
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -368,6 +368,15 @@
 
 }  // namespace
 
+namespace {
+
+void RecordUnread(leased_state& l, const leased_job& job, micros waited) {
+  RecordRequestWait(l.late, waited);
+  l.latencies[job.queue.name].unread.Add(ToMillis(waited));
+}
+
+}  // namespace
+
 failure NeverRunnable() {
   return {verdict::not_run, reason::never_runnable,
           "a task needs more than any worker has", 0};
@@ -433,6 +442,7 @@
   if (!CanEverRun(s, *queue, r.steps) && RefusesUnfit(s, now, event.ticket, r))
     return;
   leased_job job = BuildJob(l, now, event, *queue);
+  RecordUnread(l, job, now - ArrivalOf(event.received, now));
   if (RefusesNewWork(s, job)) {
     RefuseTicket(s, event.ticket, job.id,
                  {verdict::not_run, reason::queue_full, "this entry acts late",
--- a/src/core/leased_metrics.cc
+++ b/src/core/leased_metrics.cc
@@ -101,6 +101,8 @@
   AppendMetric(out, "cassiaferry_entry_late_ms", "", s.late.mean_us / 1000);
   AppendMetric(out, "cassiaferry_entry_loop_wait_ms", "",
                static_cast<double>(ToMillis(s.late.last_loop_wait)));
+  AppendMetric(out, "cassiaferry_entry_request_wait_ms", "",
+               static_cast<double>(ToMillis(s.late.last_request_wait)));
   AppendMetric(out, "cassiaferry_leased_work_arriving_millicores", "",
                s.work_arriving);
   if (s.options.shares_across_entries)
@@ -108,6 +110,8 @@
   AppendUnevenWorkers(out, s);
   for (const auto& [queue, latencies] : s.latencies) {
     const std::string label = "queue=\"" + queue + "\"";
+    AppendHistogram(out, "cassiaferry_leased_unread_ms", label,
+                    latencies.unread);
     AppendHistogram(out, "cassiaferry_leased_queued_ms", label,
                     latencies.queued);
     AppendHistogram(out, "cassiaferry_leased_response_ms", label,
--- a/src/core/leased_tick.cc
+++ b/src/core/leased_tick.cc
@@ -83,7 +83,9 @@
   return "entry late by ms " +
          std::to_string(static_cast<int64_t>(l.mean_us / 1000)) +
          ", longest event wait ms " +
-         std::to_string(ToMillis(l.last_loop_wait));
+         std::to_string(ToMillis(l.last_loop_wait)) +
+         ", longest request wait ms " +
+         std::to_string(ToMillis(l.last_request_wait));
 }
 
 namespace {
@@ -95,10 +97,15 @@
   int64_t max_free_cpu = 0;  // on a single worker, thousandths of a core
   // Workers that take work and are not avoided now.
   uint32_t usable_workers = 0;
+  // By which the time until a job starts is predicted, in thousandths of a
+  // core.
+  double work_rate = 0;
 };
 
-free_resources_summary SummarizeFreeResources(const entry_state& s) {
+free_resources_summary SummarizeFreeResources(const entry_state& s,
+                                              int64_t free_cpu) {
   free_resources_summary free_resources;
+  free_resources.work_rate = WorkRate(s.leased, free_cpu);
   for (const leased_worker& w : s.leased.workers) {
     if (!w.takes_work)
       continue;
@@ -118,7 +125,10 @@
          ", most free on a worker " +
          std::to_string(free_resources.max_free_cpu) +
          ", workers not avoided " +
-         std::to_string(free_resources.usable_workers) + ", " +
+         std::to_string(free_resources.usable_workers) + ", work rate " +
+         std::to_string(static_cast<int64_t>(free_resources.work_rate)) +
+         ", work arriving " +
+         std::to_string(static_cast<int64_t>(s.leased.work_arriving)) + ", " +
          LatenessText(s.leased.late);
 }
 
@@ -142,7 +152,7 @@
       UnservableJobs(s.leased, order, free, now);
   if (unservable.empty())
     return;
-  const free_resources_summary free_resources = SummarizeFreeResources(s);
+  const free_resources_summary free_resources = SummarizeFreeResources(s, free);
   const double drain_ms = DrainMs(s.leased, FreeCpu(s));
   for (leased_seq seq : unservable) {
     leased_job& job = s.leased.jobs[seq];
@@ -279,6 +289,19 @@
                           std::to_string(s.leased.jobs.size())});
 }
 
+// Requests may lie unread while all frames are handled in time.
+void LogRequestWaits(entry_state& s, micros now) {
+  constexpr micros kLoggedFrom = Millis(100);
+  constexpr micros kEvery = Millis(1000);
+  leased_state& l = s.leased;
+  if (l.late.last_request_wait < kLoggedFrom ||
+      now - l.request_waits_logged_at < kEvery)
+    return;
+  l.request_waits_logged_at = now;
+  s.actions.push_back(
+      leased_decision{"requests lay unread", "", LatenessText(l.late)});
+}
+
 // Failure guarded against: this process was frozen, and wakes with jobs whose
 // callers have meanwhile gone to other entries. Nothing starts until the data
 // in its sockets, such as the ends of those connections, has been read.
@@ -303,6 +326,7 @@
              std::max(s.leased.late.loop_wait, s.leased.late.last_loop_wait));
   LogLinkRate(s);
   LogLateness(s, now);
+  LogRequestWaits(s, now);
   LogUnevenWorkers(s, now);
   EndLostRuns(s, now);
   RecordCapacityGrowth(s, now);
