Entry: requests that wait to be read count as lateness, and new connections don't wait for all others

Cause: lateness was measured by frames of sidecars, which the control thread handles. Callers' requests are read by another thread. It fell behind by seconds, unseen, and served requests in the order in which they came, nearly all too late. It was worst for new connections: one was accepted in each round of the thread, and a caller whose connections are busy opens a new one.

Ruled out: frames (below 15 ms at that time), events in the process (3 ms).

Change: the server measures how long a task waits for its thread behind all that is ready, and that counts as lateness; up to 64 connections are accepted at a time.

--- a/include/cassiaferry/lateness.h
+++ b/include/cassiaferry/lateness.h
@@ -4,7 +4,9 @@
 // processor time: its workers look idle, its link looks free, and requests and
 // frames wait in sockets that it has not read. Frames carry the time at which
 // they were sent, on the sender's clock. The delay of a frame beyond that of
-// the fastest recent frame is queueing time, most of it in this process.
+// the fastest recent frame is queueing time, most of it in this process. It
+// doesn't tell how long callers' requests wait, which another thread reads: the
+// delay of that thread is measured by itself.
 //
 // Pure functions: no thread, clock or socket.
 //
@@ -72,7 +74,11 @@
   // Longest time that a caller's request lay unread in this interval.
   micros request_wait{0};
   micros last_request_wait{0};  // same, in the previous interval
-  micros interval_start{0};     // start of this interval
+  // Longest time in this interval that what callers sent was ready and waited
+  // to be read.
+  micros read_delay{0};
+  micros last_read_delay{0};  // same, in the previous interval
+  micros interval_start{0};   // start of this interval
   bool is_late = false;
   double refuse_share = 0;  // refused share of new work; the rest stays in time
 };
@@ -87,6 +93,8 @@
 // Records how long a caller's request lay on this machine before it was
 // handled.
 void RecordRequestWait(lateness& l, micros waited);
+// Records how long what callers send waits to be read, as measured now.
+void RecordReadDelay(lateness& l, micros waited);
 // Call each tick. Returns the new value of `is_late` if it has changed.
 std::optional<bool> TickLateness(lateness& l, micros now);
 // Whether a job with `spare` time beyond its own work can't finish in time
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -274,6 +274,7 @@
 void entry_app::TickLeased() {
   const micros now = Now();
   RecordLoopWait(state_.leased.late, loop_.Waited());
+  RecordReadDelay(state_.leased.late, callers_->ReadDelay());
   state_.leased.logs_routine = LogsRoutine();
   config_watch_->Tick(now);
   if (directory_state_ == directory_state::due && now >= next_directory_check_)
--- a/src/core/lateness.cc
+++ b/src/core/lateness.cc
@@ -42,11 +42,16 @@
   l.request_wait = std::max(l.request_wait, waited);
 }
 
+void RecordReadDelay(lateness& l, micros waited) {
+  l.read_delay = std::max(l.read_delay, waited);
+}
+
 void RestartInterval(lateness& l, micros now) {
   l.sum_us = 0;
   l.frames = 0;
   l.loop_wait = {};
   l.request_wait = {};
+  l.read_delay = {};
   l.interval_start = now;
 }
 
@@ -60,8 +65,11 @@
   const micros passed = now - l.interval_start;
   if (passed < l.options.interval)
     return std::nullopt;
-  const double newest =
+  const double frames =
       l.frames == 0 ? 0 : l.sum_us / static_cast<double>(l.frames);
+  // Frames are handled by one thread, callers' requests are read by another.
+  const double newest =
+      std::max(frames, static_cast<double>(l.read_delay.value));
   const double keep =
       std::exp(-static_cast<double>(passed.value) /
                static_cast<double>(l.options.averaging_time.value));
@@ -75,6 +83,7 @@
       std::clamp(l.refuse_share + change, 0.0, l.options.max_refuse_share);
   l.last_loop_wait = l.loop_wait;
   l.last_request_wait = l.request_wait;
+  l.last_read_delay = l.read_delay;
   RestartInterval(l, now);
   const micros bound =
       l.is_late ? l.options.in_time_below : l.options.late_above;
--- a/src/core/leased_metrics.cc
+++ b/src/core/leased_metrics.cc
@@ -101,6 +101,8 @@
   AppendMetric(out, "cassiaferry_entry_late_ms", "", s.late.mean_us / 1000);
   AppendMetric(out, "cassiaferry_entry_loop_wait_ms", "",
                static_cast<double>(ToMillis(s.late.last_loop_wait)));
+  AppendMetric(out, "cassiaferry_entry_read_delay_ms", "",
+               static_cast<double>(ToMillis(s.late.last_read_delay)));
   AppendMetric(out, "cassiaferry_entry_request_wait_ms", "",
                static_cast<double>(ToMillis(s.late.last_request_wait)));
   AppendMetric(out, "cassiaferry_leased_work_arriving_millicores", "",
--- a/src/core/leased_tick.cc
+++ b/src/core/leased_tick.cc
@@ -84,6 +84,8 @@
          std::to_string(static_cast<int64_t>(l.mean_us / 1000)) +
          ", longest event wait ms " +
          std::to_string(ToMillis(l.last_loop_wait)) +
+         ", requests read late by ms " +
+         std::to_string(ToMillis(l.last_read_delay)) +
          ", longest request wait ms " +
          std::to_string(ToMillis(l.last_request_wait));
 }
@@ -294,7 +296,8 @@
   constexpr micros kLoggedFrom = Millis(100);
   constexpr micros kEvery = Millis(1000);
   leased_state& l = s.leased;
-  if (l.late.last_request_wait < kLoggedFrom ||
+  if (std::max(l.late.last_request_wait, l.late.last_read_delay) <
+          kLoggedFrom ||
       now - l.request_waits_logged_at < kEvery)
     return;
   l.request_waits_logged_at = now;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -28,6 +28,11 @@
 // Reading goes on while a request is handled, so that a closed connection
 // shows.
 constexpr size_t kPipelined = 2;
+// Failure guarded against: a busy server takes one new connection for each
+// round of reading all others, new ones wait for seconds, and their callers
+// leave.
+constexpr size_t kAcceptsAtOnce = 64;
+constexpr micros kDelayProbeInterval = Millis(20);
 
 using connection_key = uint64_t;
 
@@ -241,6 +246,35 @@
 
 }  // namespace
 
+// Measures how long a task waits for a server's threads, behind all that is
+// ready. One task at a time.
+class delay_probe {
+ public:
+  // Any thread. `post` queues a task for the server's threads.
+  template <typename Post>
+  micros Measure(micros now, Post post) {
+    const std::lock_guard lock(mutex_);
+    if (!open_ && now - posted_ >= kDelayProbeInterval) {
+      open_ = true;
+      posted_ = now;
+      post();
+    }
+    return open_ ? std::max(newest_, now - posted_) : newest_;
+  }
+
+  void Finish(micros now) {
+    const std::lock_guard lock(mutex_);
+    open_ = false;
+    newest_ = now - posted_;
+  }
+
+ private:
+  std::mutex mutex_;  // guards what follows
+  bool open_ = false;
+  micros posted_{0};
+  micros newest_{0};
+};
+
 struct http_server::impl {
   using server = restinio::running_server_handle_t<server_traits>;
 
@@ -252,6 +286,8 @@
   gone_callback on_gone;
   std::atomic<uint64_t> next_ticket{1};
   pending_table pending;
+  delay_probe delay;
+  restinio::asio_ns::io_context io;  // outlives the server that runs on it
   server running;
 };
 
@@ -323,7 +359,7 @@
       .max_field_value_size(kMaxHeaderValue);
   try {
     impl_->running = restinio::run_async<server_traits>(
-        restinio::own_io_context(),
+        restinio::external_io_context(impl_->io),
         restinio::server_settings_t<server_traits>{}
             .address(ip)
             .port(port)
@@ -337,6 +373,7 @@
             .connection_state_listener(listener)
             .incoming_http_msg_limits(limits)
             .max_parallel_connections(impl_->options.max_connections)
+            .concurrent_accepts_count(kAcceptsAtOnce)
             .max_pipelined_requests(kPipelined)
             .read_next_http_message_timelimit(impl_->options.read_timeout)
             .write_http_response_timelimit(impl_->options.write_timeout)
@@ -358,6 +395,12 @@
   return impl_->pending.Ended();
 }
 
+micros http_server::ReadDelay() {
+  return impl_->delay.Measure(Now(), [this] {
+    restinio::asio_ns::post(impl_->io, [this] { impl_->delay.Finish(Now()); });
+  });
+}
+
 std::optional<connection_id> http_server::ConnectionOfOnly(
     ticket_id ticket) const {
   return impl_->pending.ConnectionOfOnly(ticket);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -79,6 +79,10 @@
   // that is still unread and `on_gone` not yet called. Any thread; a call of
   // the kernel.
   std::vector<ticket_id> CallersLeft() const;
+  // How long what is ready waits for this server's threads: of the newest
+  // measurement, or of the one that is under way, if that has taken longer. Any
+  // thread; at most one call each `kDelayProbeInterval` begins another.
+  micros ReadDelay();
   // The connection of a request, if that is its only one not yet answered. Any
   // thread.
   std::optional<connection_id> ConnectionOfOnly(ticket_id ticket) const;
--- a/tests/lateness_unit_test.cc
+++ b/tests/lateness_unit_test.cc
@@ -86,6 +86,19 @@
   CHECK(Refused(900) > 70);
 }
 
+// Guards against an entry that refuses nothing and answers everything late,
+// because its frames are in time and its callers' requests are not read.
+TEST_CASE_METHOD(late_entry, "entry_reads_requests_late_counts_as_late") {
+  lateness& l = Entry().leased.late;
+  for (int i = 0; i < 10; ++i) {
+    RecordFrameDelay(l, 0);
+    RecordReadDelay(l, Millis(150));
+    TickLateness(l, l.interval_start + l.options.interval);
+  }
+  CHECK(l.is_late);
+  CHECK(Refused(60) > 70);
+}
+
 // Guards against requests refused for seconds after the cause has gone.
 TEST_CASE_METHOD(late_entry,
                  "entry_in_time_again_refuses_nothing_after_a_second") {
