Shedding: an entry that is late again and again hands callers over too, sooner, and as many as it must

Cause: shedding asked for 500 ms of refusing without a break. An entry at its limit refuses, is in time for some 100 ms, and refuses again. And a period was counted as 3 s, so that the bound of a tenth allowed the first one 27 s after the start.

Change: time in which nothing is refused takes a third of itself off the 500 ms. The entry follows the balancer's probes: it stops being ready 50 ms before one, closes connections after the second that it fails, and is ready again before the next: 2.1 s, so that the first may begin 19 s after the start. It closes up to half of the connections where less than a third would not do, by what it completes of what it is asked. The bound of a tenth stays.

--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -31,6 +31,7 @@
 // A change must be in force everywhere within 2 s of its writing; a feed that
 // was cut is given up after this and half a second more.
 constexpr int64_t kConfigFeedWaitMs = 1000;
+constexpr int kFirstFailureStatus = 300;
 constexpr micros kPublishRetry = Millis(300);
 constexpr micros kPublishCheck = Millis(10'000);
 constexpr size_t kLeasedBodyBytes = 1 << 20;
@@ -64,9 +65,12 @@
   ready_server_ = std::make_unique<http_server>(
       ready,
       [this](const http_request& r) {
+        const bool is_ready = ready_;
         http_response response;
-        response.status = ready_ ? 200 : 503;
+        response.status = is_ready ? 200 : 503;
         ready_server_->Answer(r.ticket, response);
+        loop_.Call(
+            [this, is_ready] { RecordProbe(shedding_, Now(), is_ready); });
       },
       [](ticket_id) {});
   settings_.ready = StartOrDie(*ready_server_, kPrefix);
@@ -360,6 +364,7 @@
 // against: callers that keep an open connection until the process is gone, and
 // lose the request they have just sent.
 void entry_app::AnswerCaller(ticket_id ticket, http_response response) {
+  RecordAnswer(shedding_, response.status < kFirstFailureStatus);
   response.close = draining_ || ClosesAfterAnswer(ticket);
   callers_->Answer(ticket, response);
 }
--- a/src/core/shedding.cc
+++ b/src/core/shedding.cc
@@ -2,11 +2,13 @@
 //
 // Contents
 //   [1] Period
-//   [2] Connections
+//   [2] Probes
+//   [3] Connections
 
 #include "cassiaferry/shedding.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "cassiaferry/metrics.h"
 
@@ -16,8 +18,20 @@
 
 namespace {
 
-micros PeriodLength(const shedding_options& o) {
-  return o.notice_time + o.close_time;
+// An entry that stops being ready so long before a probe fails it.
+constexpr micros kProbeMargin = Millis(50);
+
+// Probes are known while they come at equal intervals.
+bool KnowsProbes(const shedding& s, micros now) {
+  return s.probe_interval.value > 0 &&
+         now - *s.last_probe < micros{s.probe_interval.value * 2};
+}
+
+micros PeriodLength(const shedding& s, micros now) {
+  if (!KnowsProbes(s, now))
+    return s.options.notice_time + s.options.close_time;
+  return micros{s.probe_interval.value * s.options.missed_probes} +
+         micros{kProbeMargin.value * 2};
 }
 
 void CountUnreadyTime(shedding& s, micros now) {
@@ -33,29 +47,52 @@
 // Whether the time not ready stays within its bound with a period from now on.
 // The share is largest at the end of the period.
 bool StaysWithinBound(const shedding& s, micros now) {
-  const micros length = PeriodLength(s.options);
+  const micros length = PeriodLength(s, now);
   const micros since_start = now + length - *s.started;
   return (s.unready_time + length).value * s.options.ready_parts <=
          since_start.value;
 }
 
-void TrackLateness(shedding& s, const shedding_inputs& in) {
-  const bool is_late = in.refuse_share > 0 && in.ready && !in.draining;
-  if (!is_late)
-    s.late_since.reset();
-  else if (!s.late_since)
-    s.late_since = in.now;
+// `passed`: since the last tick, whose lateness counts for this time.
+void TrackLateness(shedding& s, const shedding_inputs& in, micros passed) {
+  const micros taken{passed.value / s.options.in_time_parts};
+  if (!in.ready || in.draining)
+    s.late_time = {};
+  else if (s.was_late)
+    s.late_time = std::min(s.options.late_for, s.late_time + passed);
+  else
+    s.late_time = std::max(micros{0}, s.late_time - taken);
+  s.was_late = in.refuse_share > 0;
+}
+
+void DecayLoad(shedding& s, micros passed) {
+  const double keep =
+      std::exp(-static_cast<double>(passed.value) /
+               static_cast<double>(s.options.averaging_time.value));
+  s.load.asked *= keep;
+  s.load.done *= keep;
+}
+
+bool IsProbeDue(const shedding& s, micros now) {
+  return !KnowsProbes(s, now) ||
+         now - *s.last_probe >= s.probe_interval - kProbeMargin;
 }
 
 bool StartsPeriod(const shedding& s, micros now) {
-  return s.late_since && now - *s.late_since >= s.options.late_for &&
+  return s.late_time >= s.options.late_for && IsProbeDue(s, now) &&
          (!s.last_end || now - *s.last_end >= s.options.min_gap) &&
          StaysWithinBound(s, now);
 }
 
 bool EndsPeriod(const shedding& s, const shedding_inputs& in) {
   return in.draining || !in.ready || !s.options.enabled ||
-         in.now - s.period_start >= PeriodLength(s.options);
+         in.now - s.period_start >= s.period_length;
+}
+
+bool StartsClosing(const shedding& s, micros now) {
+  return s.phase == shedding_phase::notice &&
+         (s.missed >= s.options.missed_probes ||
+          now - s.period_start >= s.options.notice_time);
 }
 
 shedding_change EndPeriod(shedding& s, micros now) {
@@ -67,6 +104,8 @@
 shedding_change StartPeriod(shedding& s, micros now) {
   s.phase = shedding_phase::notice;
   s.period_start = now;
+  s.period_length = PeriodLength(s, now);
+  s.missed = 0;
   s.to_close = 0;
   s.closed = 0;
   return shedding_change::readiness_withdrawn;
@@ -87,8 +126,10 @@
 }  // namespace
 
 shedding_decision TickShedding(shedding& s, const shedding_inputs& in) {
+  const micros passed = s.started ? in.now - s.last_tick : micros{0};
   CountUnreadyTime(s, in.now);
-  TrackLateness(s, in);
+  TrackLateness(s, in, passed);
+  DecayLoad(s, passed);
   PruneConnections(s, in.now);
   shedding_decision d;
   if (s.phase != shedding_phase::none && EndsPeriod(s, in)) {
@@ -96,12 +137,11 @@
   } else if (s.phase == shedding_phase::none && s.options.enabled &&
              StartsPeriod(s, in.now)) {
     d.change = StartPeriod(s, in.now);
-  } else if (s.phase == shedding_phase::notice &&
-             in.now - s.period_start >= s.options.notice_time) {
+  } else if (StartsClosing(s, in.now)) {
     s.phase = shedding_phase::closing;
     d.change = shedding_change::closing;
     d.active_connections = CountActive(s, in.now);
-    s.to_close = ConnectionsToClose(s.options, d.active_connections);
+    s.to_close = ConnectionsToClose(s.options, d.active_connections, s.load);
   }
   d.ready = in.ready && !in.draining && s.phase == shedding_phase::none;
   s.was_ready = d.ready;
@@ -119,14 +159,36 @@
   return out;
 }
 
-// ---- [2] Connections --------------------------------------------------------
+// ---- [2] Probes
+// --------------------------------------------------------------
+
+void RecordProbe(shedding& s, micros now, bool answered_ready) {
+  // Beyond these there is no one balancer that probes once a second.
+  constexpr micros kMinInterval = Millis(500);
+  constexpr micros kMaxInterval = Millis(1500);
+  const micros interval = s.last_probe ? now - *s.last_probe : micros{0};
+  s.last_probe = now;
+  s.probe_interval = interval >= kMinInterval && interval <= kMaxInterval
+                         ? interval
+                         : micros{0};
+  if (s.phase == shedding_phase::notice && !answered_ready)
+    ++s.missed;
+}
+
+// ---- [3] Connections --------------------------------------------------------
 
 void RecordRequest(shedding& s,
                    micros now,
                    connection_id connection,
                    ticket_id ticket) {
-  if (s.options.enabled)
-    s.connections[connection] = {now, ticket};
+  if (!s.options.enabled)
+    return;
+  s.connections[connection] = {now, ticket};
+  ++s.load.asked;
+}
+
+void RecordAnswer(shedding& s, bool done) {
+  s.load.done += done ? 1 : 0;
 }
 
 size_t CountActive(const shedding& s, micros now) {
@@ -136,8 +198,17 @@
       }));
 }
 
-size_t ConnectionsToClose(const shedding_options& options, size_t active) {
-  return active < 2 ? 0 : std::max<size_t>(1, active / options.closed_parts);
+size_t ConnectionsToClose(const shedding_options& options,
+                          size_t active,
+                          const recent_load& load) {
+  if (active < 2)
+    return 0;
+  const double excess =
+      load.done > 0 ? 1 - options.kept_load * load.done / load.asked : 0;
+  const auto by_load =
+      static_cast<size_t>(std::clamp(excess, 0.0, options.max_closed_share) *
+                          static_cast<double>(active));
+  return std::max({size_t{1}, active / options.closed_parts, by_load});
 }
 
 // An answer with `close` drops answers behind it on the same connection, so
