--- a/include/cassiaferry/shedding.h
+++ b/include/cassiaferry/shedding.h
@@ -45,8 +45,8 @@
   micros notice_time = Millis(2000);
   micros close_time = Millis(1000);  // after that; connections are closed
   micros min_gap = Millis(10'000);   // from one period to the next
-  // Bounds the time that the entry is not ready, for whatever reason, since its
-  // start. At an eighth it would fail its availability obligation.
+  // Bounds the time that the entry is not ready, for whatever reason, since it
+  // was first ready. At an eighth it would fail its availability obligation.
   int64_t ready_parts = 10;  // at most one part in so many is not ready
   // A connection is active if it has sent a request within this time.
   micros active_within = Millis(1000);
@@ -78,9 +78,9 @@
 struct shedding {
   shedding_options options;
   shedding_phase phase = shedding_phase::none;
-  std::optional<micros> started;  // first tick of the process
-  micros late_time{0};            // see `late_for`
-  bool was_late = false;          // at the last tick
+  std::optional<micros> first_ready;  // before it, no callers come
+  micros late_time{0};                // see `late_for`
+  bool was_late = false;              // at the last tick
   std::optional<micros> last_probe;
   micros probe_interval{0};  // 0: not known
   int missed = 0;            // probes in this period
@@ -90,7 +90,7 @@
   micros period_length{0};
   micros last_tick{0};
   micros last_prune{0};
-  micros unready_time{0};  // since `started`
+  micros unready_time{0};  // since `first_ready`
   bool was_ready = true;   // from the last tick on
   size_t to_close = 0;     // in this period
   size_t closed = 0;       // in this period
--- a/src/core/shedding.cc
+++ b/src/core/shedding.cc
@@ -40,11 +40,14 @@
          margin;
 }
 
-void CountUnreadyTime(shedding& s, micros now) {
-  if (!s.started) {
-    s.started = now;
+void CountUnreadyTime(shedding& s, const shedding_inputs& in) {
+  const micros now = in.now;
+  if (!s.first_ready && in.ready) {
+    s.first_ready = now;
     s.last_tick = now;
   }
+  if (!s.first_ready)
+    return;
   if (!s.was_ready)
     s.unready_time = s.unready_time + (now - s.last_tick);
   s.last_tick = now;
@@ -54,7 +57,7 @@
 // The share is largest at the end of the period.
 bool StaysWithinBound(const shedding& s, micros now, micros margin) {
   const micros length = PeriodLength(s, now, margin);
-  const micros since_start = now + length - *s.started;
+  const micros since_start = now + length - *s.first_ready;
   return (s.unready_time + length).value * s.options.ready_parts <=
          since_start.value;
 }
@@ -132,9 +135,9 @@
 }  // namespace
 
 shedding_decision TickShedding(shedding& s, const shedding_inputs& in) {
-  const micros passed = s.started ? in.now - s.last_tick : micros{0};
+  const micros passed = s.first_ready ? in.now - s.last_tick : micros{0};
   const micros margin = ProbeMargin(passed);
-  CountUnreadyTime(s, in.now);
+  CountUnreadyTime(s, in);
   TrackLateness(s, in, passed);
   DecayLoad(s, passed);
   PruneConnections(s, in.now);
