--- a/src/core/leased_tick.cc
+++ b/src/core/leased_tick.cc
@@ -67,8 +67,8 @@
 // Failure guarded against: an entry that is short of processor time accepts
 // every job, ends of runs and heartbeats wait in its sockets, runs expire and
 // are sent again, and nearly all its answers are late. A job that it can't
-// finish in time is refused at once, which costs a tenth of serving it. A job
-// with enough time to wait for this process is accepted.
+// finish in time is refused at once, which costs less than half of serving it.
+// A job with enough time to wait for this process is accepted.
 bool RefusesNewWork(entry_state& s, const leased_job& job) {
   const double share = s.leased.late.refuse_share;
   if (share <= 0)
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -32,7 +32,7 @@
 // round of reading all others, new ones wait for seconds, and their callers
 // leave.
 constexpr size_t kAcceptsAtOnce = 64;
-constexpr micros kDelayProbeInterval = Millis(20);
+constexpr micros kDelayProbeInterval = Millis(50);
 
 using connection_key = uint64_t;
 
