--- a/include/cassiaferry/lateness.h
+++ b/include/cassiaferry/lateness.h
@@ -46,7 +46,7 @@
   micros interval = Millis(100);        // length of one interval
   micros averaging_time = Millis(300);  // decay time of the mean
   // Bounds the effect of a single delayed stream, which says nothing about this
-  // process.
+  // process, and of a single delay in reading.
   micros max_frame_delay = Millis(500);
   // The process counts as late above `late_above`, until it is below
   // `in_time_below`. Callers of short tasks allow about 60 ms beyond the task's
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -110,6 +110,7 @@
   bool HasLeasedJobs() const { return !settings_.callers.empty(); }
   void StartLeased();
   void LogStart();               // after the ready line, which comes first
+  void RecordCallersDelay(micros now);
   void TickLeased();             // on the control thread, before each tick
   void UpdateReady(micros now);  // too
   void DropCallersLeft(std::vector<entry_event>& events);  // too
--- a/src/apps/entry_leased.cc
+++ b/src/apps/entry_leased.cc
@@ -275,10 +275,18 @@
   CheckDirectoryRowAfter(micros{0});
 }
 
+// Failure guarded against: this process was frozen, and the time of that counts
+// as a delay in reading, so that requests are refused after it.
+void entry_app::RecordCallersDelay(micros now) {
+  const micros delay = callers_->ReadDelay();
+  if (now >= state_.leased.recovery_until)
+    RecordReadDelay(state_.leased.late, delay);
+}
+
 void entry_app::TickLeased() {
   const micros now = Now();
   RecordLoopWait(state_.leased.late, loop_.Waited());
-  RecordReadDelay(state_.leased.late, callers_->ReadDelay());
+  RecordCallersDelay(now);
   state_.leased.logs_routine = LogsRoutine();
   config_watch_->Tick(now);
   if (directory_state_ == directory_state::due && now >= next_directory_check_)
--- a/src/core/lateness.cc
+++ b/src/core/lateness.cc
@@ -43,7 +43,8 @@
 }
 
 void RecordReadDelay(lateness& l, micros waited) {
-  l.read_delay = std::max(l.read_delay, waited);
+  l.read_delay =
+      std::max(l.read_delay, std::min(waited, l.options.max_frame_delay));
 }
 
 void RestartInterval(lateness& l, micros now) {
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -366,10 +366,6 @@
   return job;
 }
 
-}  // namespace
-
-namespace {
-
 void RecordUnread(leased_state& l, const leased_job& job, micros waited) {
   RecordRequestWait(l.late, waited);
   l.latencies[job.queue.name].unread.Add(ToMillis(waited));
