--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -109,7 +109,7 @@
   // Leased jobs (entry_leased.cc).
   bool HasLeasedJobs() const { return !settings_.callers.empty(); }
   void StartLeased();
-  void LogStart();               // after the ready line, which comes first
+  void LogStart();  // after the ready line, which comes first
   void RecordCallersDelay(micros now);
   void TickLeased();             // on the control thread, before each tick
   void UpdateReady(micros now);  // too
