Entry: what is read after the last look at what is pending is answered when the process stops

Cause (suspected): the control loop ends when nothing is pending, and then the server is stopped. What its thread reads in between is handed to a loop that is gone, and its connection ends unanswered.

Change: when nothing but the last look is left, the servers answer what they read themselves: 503, not run, with the end of the connection. A request is either counted as pending in that look or answered so.

--- a/src/apps/entry_app.cc
+++ b/src/apps/entry_app.cc
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <optional>
 
+#include "../../platform/callers.h"
 #include "app.h"
 
 namespace cassiaferry {
@@ -158,7 +159,7 @@
   ReplyJson(answer.ticket, 200, body);
 }
 
-void entry_app::Answer(const answer_failed& answer) {
+http_response entry_app::FailureResponse(const answer_failed& answer) {
   const failure& f = answer.error;
   http_response response;
   response.status = HttpStatus(f.cause);
@@ -169,7 +170,11 @@
                         {"reason", ToText(f.cause)},
                         {"message", f.message},
                         {"retry_after_ms", f.retry_after_ms}});
-  http_->Answer(answer.ticket, response);
+  return response;
+}
+
+void entry_app::Answer(const answer_failed& answer) {
+  http_->Answer(answer.ticket, FailureResponse(answer));
 }
 
 void entry_app::Ask(const owner_query& ask) {
@@ -246,9 +251,27 @@
     return false;
   if (drained_at_.value == 0)
     drained_at_ = Now();
+  if (Now() - drained_at_ <= kLingerAfterDrain)
+    return false;
+  RefuseCallers();
   const size_t pending =
       http_->Pending() + (callers_ ? callers_->Pending() : 0);
-  return Now() - drained_at_ > kLingerAfterDrain && pending == 0;
+  return pending == 0;
+}
+
+// Failure guarded against: a request is read after the last look at what is
+// pending, and its connection is closed without an answer.
+void entry_app::RefuseCallers() {
+  if (refuses_callers_)
+    return;
+  refuses_callers_ = true;
+  constexpr int64_t kAskAgainMs = 1000;
+  const failure why{verdict::not_run, reason::draining, "this entry stops",
+                    kAskAgainMs};
+  http_->RefuseFromNowOn(FailureResponse({{}, {}, why}));
+  if (callers_)
+    callers_->RefuseFromNowOn(
+        platform::OutcomeResponse({ticket_id{}, leased_outcome::refused, why}));
 }
 
 void entry_app::Run() {
--- a/src/apps/entry_app.h
+++ b/src/apps/entry_app.h
@@ -183,6 +183,7 @@
   void AdoptClosings(const closed_domains_adopted& adopted);
 
   bool MayStop();
+  void RefuseCallers();
 
   // Actions (entry_app.cc); on the control thread.
   void Act(entry_action& action);
@@ -190,6 +191,7 @@
   void Ask(const owner_query& ask);
   void Answer(const answer_complete& answer);
   void Answer(const answer_failed& answer);
+  static http_response FailureResponse(const answer_failed& answer);
 
   entry_settings settings_;
   entry_state state_;  // control thread only
@@ -216,6 +218,7 @@
   std::atomic<bool> draining_{false};
   bool drained_ = false;  // control thread only
   micros drained_at_{0};
+  bool refuses_callers_ = false;  // control thread only
 
   std::mutex mutex_;                       // guards what follows
   config_document document_;               // newest known to any thread
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -285,6 +285,8 @@
   request_callback on_request;
   gone_callback on_gone;
   std::atomic<uint64_t> next_ticket{1};
+  http_response refusal;  // written before `refuses`
+  std::atomic<bool> refuses{false};
   pending_table pending;
   delay_probe delay;
   restinio::asio_ns::io_context io;  // outlives the server that runs on it
@@ -308,6 +310,13 @@
   r.received = NewestArrival(caller_socket::reading);
   r.caller_left = HasEnded(caller_socket::reading);
   pending.Add(ticket, request, caller_socket::reading);
+  // After the request was added: whoever sets it counts the request as pending,
+  // or the request is answered here.
+  if (refuses) {
+    if (const restinio::request_handle_t taken = pending.Take(ticket))
+      Write(taken, refusal);
+    return restinio::request_accepted();
+  }
   on_request(std::move(r));
   return restinio::request_accepted();
 }
@@ -406,6 +415,12 @@
   return impl_->pending.ConnectionOfOnly(ticket);
 }
 
+void http_server::RefuseFromNowOn(const http_response& response) {
+  impl_->refusal = response;
+  impl_->refusal.close = true;
+  impl_->refuses = true;
+}
+
 size_t http_server::Pending() const {
   return impl_->pending.Size();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -74,7 +74,10 @@
 
   void Answer(ticket_id ticket,
               const http_response& response);  // any thread, once each
-  size_t Pending() const;                      // requests not yet answered
+  // Requests read from now on are answered so at once, and end their
+  // connection; `Pending` doesn't rise any more. Any thread, once.
+  void RefuseFromNowOn(const http_response& response);
+  size_t Pending() const;  // requests not yet answered
   // Of these, the ones whose callers have closed their connections, also where
   // that is still unread and `on_gone` not yet called. Any thread; a call of
   // the kernel.
--- a/tests/busy_server_unit_test.cc
+++ b/tests/busy_server_unit_test.cc
@@ -4,6 +4,7 @@
 //   [1] Fixture
 //   [2] New connections
 //   [3] Delay
+//   [4] Stop
 
 #include <asio.hpp>
 #include <catch2/catch.hpp>
@@ -147,5 +148,29 @@
   CHECK(Eventually([&] { return server.ReadDelay() < Millis(20); }));
 }
 
+// ---- [4] Stop ---------------------------------------------------------------
+
+// Guards against a request that is read after a stopping process has looked for
+// the last time at what is pending, and whose connection ends unanswered.
+TEST_CASE_METHOD(held_server, "server_refusing_what_is_read_late_is_answered") {
+  Hold();
+  asio::ip::tcp::socket& late = Connect();
+  Send(late, "/kept", 1);
+  http_response refusal;
+  refusal.status = 503;
+  server.RefuseFromNowOn(refusal);
+  CHECK(server.Pending() == 1);
+  expected_new = 1;
+  Release();
+  std::string answer;
+  asio::error_code ended;
+  asio::read(late, asio::dynamic_buffer(answer), ended);
+  CHECK(ended == asio::error::eof);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  CHECK(read_kept == 0);
+  CHECK(server.Pending() == 0);
+}
+
 }  // namespace
 }  // namespace cassiaferry
