HTTP server: a stopped server closes its connections at once, not with the process

Before, the library's io_context went with the server, and closed them at once.

Test: server_stopped_connections_are_closed fails without it.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -289,7 +289,9 @@
   std::atomic<bool> refuses{false};
   pending_table pending;
   delay_probe delay;
-  restinio::asio_ns::io_context io;  // outlives the server that runs on it
+  // Of the server that runs on it; without it no connection stays open.
+  std::unique_ptr<restinio::asio_ns::io_context> io =
+      std::make_unique<restinio::asio_ns::io_context>();
   server running;
 };
 
@@ -368,7 +370,7 @@
       .max_field_value_size(kMaxHeaderValue);
   try {
     impl_->running = restinio::run_async<server_traits>(
-        restinio::external_io_context(impl_->io),
+        restinio::external_io_context(*impl_->io),
         restinio::server_settings_t<server_traits>{}
             .address(ip)
             .port(port)
@@ -406,7 +408,7 @@
 
 micros http_server::ReadDelay() {
   return impl_->delay.Measure(Now(), [this] {
-    restinio::asio_ns::post(impl_->io, [this] { impl_->delay.Finish(Now()); });
+    restinio::asio_ns::post(*impl_->io, [this] { impl_->delay.Finish(Now()); });
   });
 }
 
@@ -432,6 +434,7 @@
   impl_->running->wait();
   impl_->running.reset();
   impl_->pending.Clear();
+  impl_->io.reset();
 }
 
 }  // namespace cassiaferry
--- a/tests/busy_server_unit_test.cc
+++ b/tests/busy_server_unit_test.cc
@@ -6,6 +6,8 @@
 //   [3] Delay
 //   [4] Stop
 
+#include <poll.h>
+
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -172,5 +174,19 @@
   CHECK(server.Pending() == 0);
 }
 
+// Guards against connections that stay open, with a request that nobody
+// answers, until the process ends.
+TEST_CASE_METHOD(held_server, "server_stopped_connections_are_closed") {
+  constexpr int kWaitMs = 5000;
+  asio::ip::tcp::socket& idle = Connect();
+  Send(idle, "/kept", 1);
+  std::string answer;
+  asio::read_until(idle, asio::dynamic_buffer(answer), "\r\n\r\n");
+  server.Stop();
+  pollfd ended{idle.native_handle(), POLLIN | POLLRDHUP, 0};
+  REQUIRE(poll(&ended, 1, kWaitMs) == 1);
+  CHECK((ended.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+}
+
 }  // namespace
 }  // namespace cassiaferry
