An end is acknowledged only once it is resolved

An entry counted an end as received before anything had decided about it, and the next frame acknowledged all received ends but those that some path had marked as not stored. An entry that stops leaves its jobs 3.6 s after the signal. Ends that were on their way, which wait for a sidecar's next frame, then found no job: classified as unknown, nothing was done, and they were acknowledged. The worker forgot them, and the next owner ran the tasks again.

The new emulated test on: all ends of that window are started again ("run 8193 of job-0.1 started at 8402 though run 4097 was done"). Now the entry logs each such end, "end of a job unknown here".

The default is turned round: an end of a durable run counts as unresolved from its arrival, and only a resolution acknowledges it (stored, irrelevant for a reason that has a name, lease expired). An end of an unknown job is offered to the other entries. The same for an end whose open run no longer fits its job, and for one of a job that is known here as another one that is not stored. The look-up that ends of unknown jobs already have keeps them from being held for ever: a job without rows is forgotten, one whose owner is gone has its worker's lease expired.

The emulator stops entries and sidecars as planned: a signal, the grace time, the kill.

--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -172,15 +172,15 @@
   std::deque<unconfirmed_start> in_flight;  // not confirmed yet
   resources in_flight_resources;
   uplink_stream frames;         // sent, receipt not confirmed
-  uint64_t acked_end = 0;       // newest end handled here
+  uint64_t received_end = 0;    // newest end received
   uint64_t acked_end_sent = 0;  // newest acknowledgement sent to the sidecar
   // The sidecar knows that this entry waits for capacity.
   bool wanted_cpu_sent = false;
   bool follows = false;       // this entry wants reports of each change
   bool follows_sent = false;  // `follows` as last sent to the sidecar
-  // Ends handled but not stored yet: neither they nor later ones are
-  // acknowledged.
-  std::set<uint64_t> unsaved_ends;
+  // Ends that were received and may not be forgotten yet: neither they nor
+  // later ones are acknowledged.
+  std::set<uint64_t> unresolved_ends;
   std::deque<open_resolution> open_resolutions;
   uint64_t resolutions_sent = 0;  // on this stream
   // Grows with each new sidecar process of this name.
--- a/src/core/durable_ends.cc
+++ b/src/core/durable_ends.cc
@@ -22,9 +22,21 @@
 
 namespace {
 
+bool Counts(run_end_kind kind) {
+  return kind == run_end_kind::done || kind == run_end_kind::failed;
+}
+
+}  // namespace
+
+bool IsHeldUntilResolved(const run_end& end) {
+  return Counts(end.kind) && end.ref.run >= FirstRun(durable_job_state().epoch);
+}
+
+namespace {
+
 // Failure guarded against: the order not to acknowledge an end yet is lost with
 // its stream, and the next acknowledgement covers the end. The end counts as
-// unsaved until the sidecar has confirmed the order, and the order is sent
+// unresolved until the sidecar has confirmed the order, and the order is sent
 // again on each stream.
 void ResolveEnd(entry_state& s,
                 const unsaved_end& end,
@@ -33,11 +45,11 @@
   if (w.sidecar_incarnation != end.sidecar_incarnation)
     return;  // whoever finds it there offers it again
   if (end.number != 0 && disposition == end_disposition::forget) {
-    w.unsaved_ends.erase(end.number);
+    w.unresolved_ends.erase(end.number);
     return;
   }
   if (end.number != 0)
-    w.unsaved_ends.insert(end.number);
+    w.unresolved_ends.insert(end.number);
   w.open_resolutions.push_back(
       {++w.resolutions_sent, end.number, {end.ref, disposition}});
   if (s.workers[end.worker.value].state != worker_link::down)
@@ -122,14 +134,13 @@
 }
 
 orphan_kind ClassifyOrphan(entry_state& s, const run_end& end) {
-  leased_job* job = FindLeasedJob(s.leased, end.ref.task.job);
-  // The job is not durable: there is no row to look up.
-  if (job == nullptr && end.ref.run < FirstRun(durable_job_state().epoch))
+  // Its job is not durable: there is no row to look up.
+  if (!IsHeldUntilResolved(end))
     return orphan_kind::irrelevant;
-  if (job == nullptr || job->durable.stage == durable_stage::accepting)
+  leased_job* job = FindLeasedJob(s.leased, end.ref.task.job);
+  if (job == nullptr || !IsDurable(*job) ||
+      job->durable.stage == durable_stage::accepting)
     return ClassifyEndOfEndedJob(s.leased.durable, end);
-  if (!IsDurable(*job))
-    return orphan_kind::irrelevant;
   leased_task_row* row = FindTask(*job, end.ref.task);
   return row == nullptr ? orphan_kind::irrelevant
                         : ClassifyTaskEnd(*job, *row, end);
@@ -162,6 +173,11 @@
                    worker_id id,
                    const run_end& end,
                    end_disposition disposition) {
+  if (disposition == end_disposition::offer_to_others)
+    s.actions.push_back(leased_decision{
+        "end of a job unknown here", end.ref.task.job,
+        ToText(end.ref) + ", " + ToText(end.kind) +
+            ", offered to other entries, worker " + s.workers[id.value].name});
   if (disposition == end_disposition::expire_lease) {
     ++s.leased.durable.counters.expiries_requested;
     s.actions.push_back(leased_decision{
@@ -202,9 +218,7 @@
                        micros now,
                        worker_id id,
                        const run_end& end) {
-  const bool counts =
-      end.kind == run_end_kind::done || end.kind == run_end_kind::failed;
-  if (!counts || !s.leased.durable.options.enabled)
+  if (!Counts(end.kind) || !s.leased.durable.options.enabled)
     return;
   switch (ClassifyOrphan(s, end)) {
     case orphan_kind::counts:
@@ -223,12 +237,15 @@
       ResolveOrphan(s, id, end, end_disposition::expire_lease);
       return;
     case orphan_kind::irrelevant:
-      if (end.number == 0)
-        ResolveOrphan(s, id, end, end_disposition::forget);
+      ResolveOrphan(s, id, end, end_disposition::forget);
       return;
     case orphan_kind::unknown:
+      // Failure guarded against: this entry has left the job to others while
+      // the end was on its way, and they never learn of it.
       if (end.number == 0)
         LookUpForeignJob(s, now, end.ref.task.job);
+      else
+        ResolveOrphan(s, id, end, end_disposition::offer_to_others);
       return;
   }
 }
--- a/src/core/durable_jobs.cc
+++ b/src/core/durable_jobs.cc
@@ -199,7 +199,7 @@
   job.durable.unsaved_ends.push_back(
       {worker, w.sidecar_incarnation, end.number, end.ref});
   if (end.number != 0)
-    w.unsaved_ends.insert(end.number);
+    w.unresolved_ends.insert(end.number);
   MarkUnsaved(s, job);
 }
 
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -646,9 +646,13 @@
                   const run_end& end) {
   leased_worker& w = s.leased.workers[id.value];
   if (end.number != 0) {
-    if (end.number <= w.acked_end)
+    if (end.number <= w.received_end)
       return;
-    w.acked_end = end.number;
+    w.received_end = end.number;
+    // Failure guarded against: a case that no code below thinks of is
+    // acknowledged, and the task runs again. Only a resolution acknowledges.
+    if (IsHeldUntilResolved(end))
+      w.unresolved_ends.insert(end.number);
   }
   const auto open = w.open_runs.find(end.ref);
   if (open == w.open_runs.end()) {
@@ -662,8 +666,10 @@
   leased_task_row* row =
       job == nullptr ? nullptr : FindTask(*job, end.ref.task);
   if (row == nullptr || row->state != leased_task_state::placed ||
-      row->run != end.ref.run)
+      row->run != end.ref.run) {
+    HandleOrphanedEnd(s, now, id, end);
     return;
+  }
   --job->placed;
   AddCpuInUse(s.leased, *job, *row, -1);
   UpdateMayHaveRun(*job, end.kind);
--- a/src/core/leased_systems.h
+++ b/src/core/leased_systems.h
@@ -188,6 +188,9 @@
                    leased_job& job,
                    worker_id worker,
                    const run_end& end);
+// Whether a sidecar holds such an end, and its worker lists it, until an entry
+// has resolved it.
+bool IsHeldUntilResolved(const run_end& end);
 // Handles the deadline of a caller whose durable job is still being accepted.
 void HandleDurableDeadline(entry_state& s, micros now, leased_job& job);
 // Handles an end for which this entry has no open run.
--- a/src/core/leased_workers.cc
+++ b/src/core/leased_workers.cc
@@ -177,10 +177,10 @@
 
 namespace {
 
-// The sidecar may forget ends up to this number: they are stored here or need
-// not be.
-uint64_t LastSavedEnd(const leased_worker& w) {
-  return w.unsaved_ends.empty() ? w.acked_end : *w.unsaved_ends.begin() - 1;
+// The sidecar may forget ends up to this number.
+uint64_t LastResolvedEnd(const leased_worker& w) {
+  return w.unresolved_ends.empty() ? w.received_end
+                                   : *w.unresolved_ends.begin() - 1;
 }
 
 void HandleConfirmedStarts(leased_worker& w, uint64_t seen) {
@@ -195,7 +195,7 @@
 void HandleConfirmedResolutions(leased_worker& w, uint64_t seen) {
   while (!w.open_resolutions.empty() &&
          w.open_resolutions.front().sequence <= seen) {
-    w.unsaved_ends.erase(w.open_resolutions.front().end_number);
+    w.unresolved_ends.erase(w.open_resolutions.front().end_number);
     w.open_resolutions.pop_front();
   }
 }
@@ -271,8 +271,8 @@
   w.takes_work = false;
   if (!same_incarnation) {
     OrphanRuns(s, w);
-    w.acked_end = 0;
-    w.unsaved_ends.clear();
+    w.received_end = 0;
+    w.unresolved_ends.clear();
     w.open_resolutions.clear();
     w.offset = {};
     ++w.sidecar_incarnation;
@@ -280,11 +280,11 @@
   w.resolutions_sent = 0;
   lease_orders first;
   first.is_first = true;
-  first.acked_end = LastSavedEnd(w);
-  w.acked_end_sent = LastSavedEnd(w);
+  first.acked_end = LastResolvedEnd(w);
+  w.acked_end_sent = LastResolvedEnd(w);
   w.wanted_cpu_sent = false;
   w.follows_sent = false;
-  first.last_received_end = w.acked_end;
+  first.last_received_end = w.received_end;
   for (open_resolution& open : w.open_resolutions) {
     open.sequence = ++w.resolutions_sent;
     first.resolved_ends.push_back(open.what);
@@ -309,7 +309,7 @@
   const leased_worker& w = s.leased.workers[id.value];
   const bool waits = s.leased.wanted_cpu != 0;
   return !w.open_runs.empty() || !w.open_resolutions.empty() ||
-         !w.unsaved_ends.empty() || w.acked_end_sent != LastSavedEnd(w) ||
+         !w.unresolved_ends.empty() || w.acked_end_sent != LastResolvedEnd(w) ||
          (w.wanted_cpu_sent && !waits) || w.follows_sent != w.follows;
 }
 
@@ -487,9 +487,9 @@
     frame.orders.emplace();
   frame.orders->echo = EchoFor(w, now, s.options.timing.heartbeat,
                                !frame.orders->starts.empty());
-  frame.orders->acked_end = LastSavedEnd(w);
+  frame.orders->acked_end = LastResolvedEnd(w);
   frame.orders->wanted_cpu = s.leased.wanted_cpu;
-  w.acked_end_sent = LastSavedEnd(w);
+  w.acked_end_sent = LastResolvedEnd(w);
   w.wanted_cpu_sent = s.leased.wanted_cpu != 0;
   frame.orders->follows_resources = w.follows;
   w.follows_sent = w.follows;
--- a/src/emulator/leased_world.cc
+++ b/src/emulator/leased_world.cc
@@ -19,6 +19,7 @@
 constexpr micros kWaitingTick = Millis(5);  // of a sidecar where starts wait
 constexpr micros kWakeUp{100};
 constexpr micros kShortDrain = Millis(200);  // runs are there at the goodbye
+constexpr micros kExitDelay = Millis(20);    // its last frames get out before
 
 void Extend(micros& until, micros later) {
   until = std::max(until, later);
@@ -140,6 +141,8 @@
   o.leased.shares_across_entries = options.shares_across_entries;
   o.leased.adapts_to_uneven_workers = options.adapts_to_uneven_workers;
   o.leased.durable.enabled = options.has_store;
+  o.leased.drain_accept = micros{options.stop_grace.value * 2 / 5};
+  o.leased.drain_close = o.leased.drain_accept;
   o.leased.link.enabled = options.paces_payloads;
   if (options.link_is_stated)
     o.leased.link.configured_rate =
@@ -177,6 +180,7 @@
   o.lease_manager.first_fence = static_cast<uint64_t>(ToMillis(now)) + s.lives;
   o.timing = TimingFor(options.bounds);
   o.redial = Millis(100);
+  o.drain_grace = micros{options.stop_grace.value * 3 / 5};
   o.neighbours = options.neighbours;
   s.core = std::make_unique<sidecar_state>(MakeSidecar(o));
   s.inbox.clear();
@@ -415,6 +419,8 @@
   } else if (const auto* d = std::get_if<leased_decision>(&a)) {
     Log(EntryAddress(entry),
         std::string(d->what) + " " + d->job + ", " + d->detail);
+  } else if (std::holds_alternative<entry_drained>(a)) {
+    KillEntryOfLife(entry, now + kExitDelay);
   } else if (const auto* reach = std::get_if<reach_changed>(&a)) {
     TakeReach(entry, *reach);
   } else if (const auto* call = std::get_if<store_call>(&a)) {
@@ -453,6 +459,8 @@
     CallWorker(sidecar, *call);
   } else if (auto* record = std::get_if<call_record_store>(&a)) {
     CallRecordStore(sidecar, record->what);
+  } else if (std::holds_alternative<drained>(a)) {
+    KillSidecarOfLife(sidecar, now + kExitDelay);
   }
 }
 
@@ -534,6 +542,42 @@
   });
 }
 
+void world::KillEntryOfLife(int entry, micros at) {
+  At(at, [this, entry, life = entries[static_cast<size_t>(entry)].lives] {
+    if (entries[static_cast<size_t>(entry)].lives == life)
+      KillEntry(entry);
+  });
+}
+
+void world::KillSidecarOfLife(int sidecar, micros at) {
+  At(at, [this, sidecar, life = sidecars[static_cast<size_t>(sidecar)].lives] {
+    if (sidecars[static_cast<size_t>(sidecar)].lives == life)
+      KillSidecar(sidecar);
+  });
+}
+
+void world::StopEntry(int entry) {
+  Log("fault", "stop " + EntryAddress(entry));
+  emulated_entry& e = entries[static_cast<size_t>(entry)];
+  if (e.state == process_state::down || e.core->draining)
+    return;
+  Extend(entry_trouble_until_[entry], now + options.stop_grace);
+  e.inbox.emplace_back(entry_drain_requested{});
+  WakeEntry(entry);
+  KillEntryOfLife(entry, now + options.stop_grace);
+}
+
+void world::StopSidecar(int sidecar) {
+  Log("fault", "stop sidecar-" + std::to_string(sidecar));
+  emulated_sidecar& s = sidecars[static_cast<size_t>(sidecar)];
+  if (s.state == process_state::down || s.core->draining)
+    return;
+  Extend(sidecar_trouble_until_[sidecar], now + options.stop_grace);
+  s.inbox.emplace_back(drain_requested{});
+  WakeSidecar(sidecar);
+  KillSidecarOfLife(sidecar, now + options.stop_grace);
+}
+
 template <typename Process>
 void world::Freeze(Process& process, micros time, const action& wake) {
   if (process.state != process_state::up)
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -64,7 +64,8 @@
   micros caller_delay = Millis(2);
   micros resend_after = Millis(1300);  // a caller without an answer
   micros announce_every = Millis(1000);
-  micros restart_after = Millis(500);  // of a killed process
+  micros restart_after = Millis(500);  // of a killed or stopped process
+  micros stop_grace = Millis(6000);  // from a planned stop's signal to its kill
   leased_order order = leased_order::fair_share;
   leased_admission admission = leased_admission::in_time;
   bool shares_across_entries = false;
@@ -279,6 +280,10 @@
 
   void KillEntry(int entry);
   void KillSidecar(int sidecar);
+  // Planned stops: the process may finish within `stop_grace`, ends, and starts
+  // again.
+  void StopEntry(int entry);
+  void StopSidecar(int sidecar);
   void FreezeEntry(int entry, micros time);
   void FreezeSidecar(int sidecar, micros time);
   void CrashWorker(int worker, micros down_for);
@@ -357,6 +362,8 @@
   void Wake(Process& process, micros at, const action& tick);
   template <typename Process>
   void Freeze(Process& process, micros time, const action& wake);
+  void KillEntryOfLife(int entry, micros at);  // if it is still the same one
+  void KillSidecarOfLife(int sidecar, micros at);
   void WakeEntry(int entry);
   void WakeSidecar(int sidecar);
   // What the entry's processor takes for it, and what came of it.
--- a/tests/durable_unit_test.cc
+++ b/tests/durable_unit_test.cc
@@ -309,6 +309,29 @@
   RequireNothingBroken();
 }
 
+// Guards against a done task that runs again: its end reaches an entry that
+// stops and has just left the job to others.
+TEST_CASE_METHOD(durable_jobs,
+                 "owner_stopping_ends_after_it_left_its_jobs_count") {
+  KeepWorkersBusy(1);
+  for (int i = 0; i < 10; ++i) {
+    emulated_job job = MakeDurable("job-" + std::to_string(i), 8, 200, 6000);
+    for (size_t task = 1; task < job.run_ms.size(); ++task)
+      job.run_ms[task] = 3480 + 20 * static_cast<int64_t>(task);
+    w.SubmitTo(0, std::move(job));
+  }
+  w.Pass(Millis(50));
+  w.StopEntry(0);
+  w.Pass(Millis(3500));
+  // The entry lives on until it has written that it leaves its jobs.
+  w.StoreFault(Millis(1000), "slow",
+               [](emulated_store& store) { store.answer_ms = 200; });
+  w.Pass(Millis(20'000));
+  for (int i = 0; i < 10; ++i)
+    CHECK(w.jobs["job-" + std::to_string(i)].fate == job_fate::completed);
+  RequireNothingBroken();
+}
+
 // Guards against a task that runs twice at once: an entry loses the store, and
 // its stream to a sidecar together with the order to stop a run there; the
 // stream is back before others take the job over.
