Jobs that no worker can run don't hold up others

Overdue jobs are tried in the order of their numbers, and the pass ended at the first one that could not be placed whole. One that needs a label no worker has can never be placed, and nothing behind it was tried again. The same rule stands in the pass over jobs that are not overdue, which ended after 13 jobs without a worker; there it lasts until they are overdue or refused. And such jobs counted as work ahead of others, which could be refused for it while workers were idle.

A pass records, for each group of workers (upstream and label), the needs that no worker could take; free resources only shrink during a pass, so a step that needs as much is not tried, and all others are. The limit of 13 jobs holds for each group by itself. A job that only its own limit for each worker keeps from being placed says nothing about others, and is tried again after 20 ms. The pass over overdue jobs is bounded by jobs visited and searches made, and goes on where it stopped. Jobs without a worker are no work ahead of others. An operator sees how many there are, by label, as a metric and in the log.

--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -136,6 +136,9 @@
   bool may_have_run = false;  // a run has begun, or may have
   micros started_at{0};
   bool queued = false;  // is in `waiting` or `overdue` of leased_state
+  // Workers have capacity, but none may take one more of its tasks: it is not
+  // tried before this.
+  micros next_try{0};
   // Durable, and of no use any more; gets spare capacity only.
   bool overdue = false;
   durable_job_state durable;
@@ -268,8 +271,9 @@
   // Accepted jobs with waiting tasks that are of no use any more; they get
   // spare capacity only.
   std::set<leased_seq> overdue;
-  micros last_overdue{0};  // when overdue jobs were last placed
-  micros last_durable{0};  // when a durable job last arrived
+  micros last_overdue{0};   // when overdue jobs were last placed
+  leased_seq next_overdue;  // first one to try then; 0: the oldest
+  micros last_durable{0};   // when a durable job last arrived
   std::set<std::pair<micros, leased_seq>> deadlines;
   std::vector<leased_worker> workers;               // by worker_id
   std::map<std::string, queue_estimate> estimates;  // by queue
@@ -277,6 +281,9 @@
   // Upstreams some of whose workers are much slower than usual.
   std::set<std::string> uneven_upstreams;
   std::set<std::string> logged_uneven;  // as last logged
+  // Labels of jobs that no worker could run, as last logged.
+  std::set<std::string> logged_without_worker;
+  micros without_worker_checked_at{0};
   micros uneven_logged_at{0};
   move_budget budget_of_moves;
   move_counters moves;
--- a/src/core/leased_admission.cc
+++ b/src/core/leased_admission.cc
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "leased_capacity.h"
+
 namespace cassiaferry {
 
 namespace {
@@ -129,6 +131,7 @@
   const bool refuses_late = RefusesLate(s, rate);
   double ahead = 0;
   size_t bytes_ahead = 0;
+  group_capacities capacities;
   std::vector<leased_seq> refused;
   for (leased_seq seq : order) {
     const leased_job& job = s.jobs.at(seq);
@@ -142,6 +145,10 @@
       refused.push_back(seq);
       continue;
     }
+    // Failure guarded against: jobs that wait for a worker that is gone let
+    // others be refused, though workers are idle.
+    if (HasNoWorker(s, capacities, job))
+      continue;
     ahead += static_cast<double>(WaitingCpu(job)) *
              static_cast<double>(job.expected.value);
     bytes_ahead += job.payload.size() + kPayloadCopyBytes;
--- a/src/core/leased_choice.cc
+++ b/src/core/leased_choice.cc
@@ -134,15 +134,35 @@
 
 }  // namespace
 
+namespace {
+
+bool HasCapacityFor(const entry_state& s,
+                    worker_id id,
+                    const leased_job& job,
+                    uint32_t step) {
+  return MayPlaceOn(s, id, job, job.steps[step]) &&
+         s.leased.workers[id.value].avoid_until <= s.leased.last_tick;
+}
+
+}  // namespace
+
+bool HasCapacityFor(const entry_state& s,
+                    const leased_job& job,
+                    uint32_t step) {
+  for (uint32_t i = 0; i < s.leased.workers.size(); ++i) {
+    if (HasCapacityFor(s, worker_id{i}, job, step))
+      return true;
+  }
+  return false;
+}
+
 bool MayPlaceOneMore(const entry_state& s,
                      worker_id id,
                      const leased_job& job,
                      uint32_t step) {
-  const leased_step& needs = job.steps[step];
-  return MayPlaceOn(s, id, job, needs) &&
-         s.leased.workers[id.value].avoid_until <= s.leased.last_tick &&
-         (needs.max_per_worker == 0 ||
-          TasksOfStepOn(job, step, id) < needs.max_per_worker);
+  const uint32_t limit = job.steps[step].max_per_worker;
+  return HasCapacityFor(s, id, job, step) &&
+         (limit == 0 || TasksOfStepOn(job, step, id) < limit);
 }
 
 // ---- [3] Choice -------------------------------------------------------------
--- a/src/core/leased_metrics.cc
+++ b/src/core/leased_metrics.cc
@@ -1,10 +1,12 @@
 // Leased jobs and their workers as Prometheus text.
 
+#include <algorithm>
 #include <utility>
 
 #include "cassiaferry/lease_manager.h"
 #include "cassiaferry/leased_jobs.h"
 #include "cassiaferry/metrics.h"
+#include "leased_capacity.h"
 
 namespace cassiaferry {
 
@@ -77,6 +79,30 @@
                  static_cast<double>(count));
 }
 
+// Labels are from callers: they may hold any characters.
+std::string LabelText(std::string label) {
+  constexpr size_t kMaxLength = 64;
+  label.resize(std::min(label.size(), kMaxLength));
+  std::replace_if(
+      label.begin(), label.end(),
+      [](char c) { return c == '"' || c == '\\' || c == '\n'; }, '_');
+  return "label=\"" + label + "\"";
+}
+
+void AppendJobsWithoutWorker(std::string& out, const leased_state& s) {
+  constexpr size_t kMaxLabels = 20;
+  const std::string name = "cassiaferry_leased_jobs_without_worker";
+  size_t all = 0;
+  size_t labels = 0;
+  for (const auto& [label, jobs] : JobsWithoutWorker(s)) {
+    all += jobs;
+    if (++labels <= kMaxLabels)
+      AppendMetric(out, name + "_by_label", LabelText(label),
+                   static_cast<double>(jobs));
+  }
+  AppendMetric(out, name, "", static_cast<double>(all));
+}
+
 }  // namespace
 
 std::string LeasedPrometheusText(const leased_state& s) {
@@ -95,6 +121,9 @@
                static_cast<double>(s.jobs.size()));
   AppendMetric(out, "cassiaferry_leased_jobs_waiting", "",
                static_cast<double>(s.waiting.size()));
+  AppendMetric(out, "cassiaferry_leased_jobs_overdue", "",
+               static_cast<double>(s.overdue.size()));
+  AppendJobsWithoutWorker(out, s);
   AppendMetric(out, "cassiaferry_link_bytes_per_s_bound", "", s.link.rate);
   AppendMetric(out, "cassiaferry_link_delay_ms", "",
                static_cast<double>(ToMillis(s.link.delay)));
--- a/src/core/leased_placing.cc
+++ b/src/core/leased_placing.cc
@@ -14,6 +14,7 @@
 #include "cassiaferry/leased_jobs.h"
 #include "entry_systems.h"
 #include "leased_admission.h"
+#include "leased_capacity.h"
 #include "leased_order.h"
 #include "leased_systems.h"
 
@@ -21,8 +22,9 @@
 
 namespace {
 
-// Number of jobs tried after the first one that didn't fit: smaller ones may.
-constexpr int kLookAhead = 12;
+// Number of jobs tried, for each group of workers, that don't fit: smaller ones
+// may.
+constexpr size_t kMaxUnmetJobs = 13;
 
 // ---- [1] One job ------------------------------------------------------------
 
@@ -118,21 +120,56 @@
   LogRoutine(s, kWhat, job, std::move(text));
 }
 
+// Records that no worker was found for the step. If it may have only so many
+// tasks on a worker, others like it may still find one.
+void HandleNoWorker(entry_state& s,
+                    micros now,
+                    leased_job& job,
+                    uint32_t step,
+                    placing_pass& pass) {
+  constexpr micros kTryAgainAfter = Millis(20);
+  if (!MaySendPayload(s.leased.link))
+    return;
+  ++pass.tries;
+  if (HasCapacityFor(s, job, step)) {
+    job.next_try = now + kTryAgainAfter;
+    return;
+  }
+  RecordUnmet(pass, job, step);
+  CountUnmetJob(pass, job, step);
+}
+
 // Places as many of the job's waiting tasks as possible, on few workers: each
 // worker gets one copy of the payload, and an unhealthy worker affects fewer
 // jobs. On links of 250 kB/s, at a load that fits, 0.95 instead of 0.24 of the
-// jobs are in time (emulator). Returns whether all tasks were placed.
-bool PlaceJob(entry_state& s, micros now, leased_job& job) {
+// jobs are in time (emulator).
+void PlaceJob(entry_state& s, micros now, leased_job& job, placing_pass& pass) {
   const bool first = !job.started;
   CompressPayload(s.leased, job);
   std::vector<uint32_t> left;
   std::vector<uint32_t> placed;
   std::optional<worker_id> worker;
+  std::optional<uint32_t> full_step;  // no worker takes one more task of it
   auto unplaced = static_cast<uint32_t>(job.waiting.size());
   for (uint32_t index : job.waiting) {
     const uint32_t step = job.tasks[index].task.step;
-    if (!worker || !MayPlaceOneMore(s, *worker, job, step))
-      worker = ChooseForPayload(s, now, job, step, unplaced);
+    if (step == full_step) {
+      left.push_back(index);
+      --unplaced;
+      continue;
+    }
+    if (!worker || !MayPlaceOneMore(s, *worker, job, step)) {
+      if (IsUnmet(pass, job, step)) {
+        worker.reset();
+        CountUnmetJob(pass, job, step);
+      } else {
+        worker = ChooseForPayload(s, now, job, step, unplaced);
+        if (!worker)
+          HandleNoWorker(s, now, job, step, pass);
+      }
+      if (!worker)
+        full_step = step;
+    }
     --unplaced;
     if (worker)
       PlaceTask(s, now, job, index, *worker);
@@ -144,7 +181,6 @@
   job.waiting = std::move(left);
   if (job.waiting.empty())
     Dequeue(s.leased, job);
-  return job.waiting.empty();
 }
 
 }  // namespace
@@ -176,15 +212,14 @@
   if (s.leased.waiting.empty() || NoWorkerHasCapacity(s))
     return;
   MeasureUsualPace(s.leased);
-  int jobs_without_capacity = 0;
+  placing_pass pass;
+  pass.max_jobs = kMaxUnmetJobs;
   for (leased_seq seq : ServeOrder(s.leased, now)) {
     if (!MaySendPayload(s.leased.link))
       return;
     leased_job& job = s.leased.jobs[seq];
-    if (!MayStart(s, now, job))
-      continue;
-    if (!PlaceJob(s, now, job) && ++jobs_without_capacity > kLookAhead)
-      return;
+    if (MayStart(s, now, job) && now >= job.next_try && !IsClosedFor(pass, job))
+      PlaceJob(s, now, job, pass);
   }
 }
 
@@ -224,6 +259,13 @@
   return spare / static_cast<int64_t>(parts);
 }
 
+// The job with this number, or the first one after it; after the last one, the
+// oldest.
+leased_seq NextOverdue(const leased_state& l, leased_seq seq) {
+  const auto it = l.overdue.lower_bound(seq);
+  return it == l.overdue.end() ? *l.overdue.begin() : *it;
+}
+
 }  // namespace
 
 // Failure guarded against: after a burst, accepted jobs whose result is of no
@@ -232,11 +274,16 @@
 // 0.53 of the new jobs are in time without this rule and 0.79 with it
 // (emulator, means of eight seeds). Accepted jobs can't be refused, so they
 // wait for spare capacity, which is checked less often than each tick.
+//
+// A pass has bounds, as thousands of jobs may be overdue. The next one goes on
+// where it stopped; otherwise the oldest job is always the first.
 void PlaceOverdue(entry_state& s, micros now) {
   constexpr micros kEvery = Millis(50);
   // A tenth of a short task's run time.
   constexpr micros kOftenEvery = Millis(10);
   constexpr micros kOverAfter = Millis(1000);  // without a new durable job
+  constexpr size_t kMaxVisits = 1000;          // 0.2 ms
+  constexpr size_t kMaxTries = 50;
   leased_state& l = s.leased;
   const bool traffic_is_over = now - l.last_durable > kOverAfter;
   if (l.durable.jobs == 0 || now < l.recovery_until ||
@@ -247,19 +294,24 @@
   if (l.overdue.empty())
     return;
   int64_t spare = SpareCpu(l, traffic_is_over);
-  const std::vector<leased_seq> order(l.overdue.begin(), l.overdue.end());
-  for (leased_seq seq : order) {
-    leased_job& job = l.jobs.at(seq);
-    if (spare <= 0)
+  placing_pass pass;
+  leased_seq next = l.next_overdue;
+  l.next_overdue = {};
+  const size_t visits = std::min(l.overdue.size(), kMaxVisits);
+  const bool visits_all = visits == l.overdue.size();
+  for (size_t i = 0; i < visits && pass.tries < kMaxTries; ++i) {
+    if (spare <= 0 || !MaySendPayload(l.link) || l.overdue.empty())
       return;
-    if (!MayStart(s, now, job))
+    leased_job& job = l.jobs.at(NextOverdue(l, next));
+    next = leased_seq{job.seq.value + 1};
+    if (!MayStart(s, now, job) || now < job.next_try)
       continue;
     const uint32_t before = job.placed;
-    const bool placed = PlaceJob(s, now, job);
+    PlaceJob(s, now, job, pass);
     spare -= static_cast<int64_t>(job.placed - before) * job.min_cpu;
-    if (!placed)
-      return;
   }
+  if (!visits_all || pass.tries >= kMaxTries)
+    l.next_overdue = next;
 }
 
 }  // namespace cassiaferry
--- a/src/core/leased_systems.h
+++ b/src/core/leased_systems.h
@@ -125,7 +125,7 @@
 void RecordBadProbe(leased_worker& w, micros now);
 leased_worker& WorkerOf(entry_state& s, worker_id id);
 resources AvailableResources(const leased_worker& w);
-bool HasLabel(const leased_worker& w, const std::string& label);
+bool HasLabel(const leased_worker& w, std::string_view label);
 bool MayPlaceOn(const entry_state& s,
                 worker_id id,
                 const leased_job& job,
@@ -143,6 +143,9 @@
                      worker_id id,
                      const leased_job& job,
                      uint32_t step);
+// Whether some worker has capacity for a task of the step, however many tasks
+// of the job it has.
+bool HasCapacityFor(const entry_state& s, const leased_job& job, uint32_t step);
 // Returns the best of a sample of workers with capacity for a task of the step.
 // Workers with capacity for more of `tasks` such tasks are preferred.
 std::optional<worker_id> ChooseWorker(entry_state& s,
--- a/src/core/leased_tick.cc
+++ b/src/core/leased_tick.cc
@@ -14,6 +14,7 @@
 #include "cassiaferry/leased_jobs.h"
 #include "entry_systems.h"
 #include "leased_admission.h"
+#include "leased_capacity.h"
 #include "leased_order.h"
 #include "leased_systems.h"
 
@@ -331,6 +332,7 @@
   LogLateness(s, now);
   LogRequestWaits(s, now);
   LogUnevenWorkers(s, now);
+  LogJobsWithoutWorker(s, now);
   EndLostRuns(s, now);
   RecordCapacityGrowth(s, now);
   MeasureArrivals(s.leased, now);
--- a/src/core/leased_workers.cc
+++ b/src/core/leased_workers.cc
@@ -57,7 +57,7 @@
   return w.free - w.in_flight_resources;
 }
 
-bool HasLabel(const leased_worker& w, const std::string& label) {
+bool HasLabel(const leased_worker& w, std::string_view label) {
   return label.empty() || std::find(w.info.labels.begin(), w.info.labels.end(),
                                     label) != w.info.labels.end();
 }
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -430,6 +430,9 @@
   template <typename Event>
   void Post(int entry, Event event);
   int AnyLiveEntry();
+  size_t FailedRunsOf(const leased_task& task) const;
+  void CheckFailed(const std::string& job);
+  bool HasWorkers(const emulated_job& job) const;
   void NoteStart(const run_ref& ref);
   void NoteEnd(int worker, const listed_end& end);
   void NoteAck(int worker, uint64_t seen);
--- a/tests/durable_unit_test.cc
+++ b/tests/durable_unit_test.cc
@@ -672,6 +672,62 @@
   RequireNothingBroken();
 }
 
+// Overdue jobs of the entry 0, behind the given one.
+struct overdue_jobs : durable_jobs {
+  void SubmitBacklogBehind(emulated_job first) {
+    w.SubmitTo(0, std::move(first));
+    w.Pass(Millis(100));
+    for (int i = 0; i < 600; ++i) {
+      w.SubmitTo(0, MakeDurable("job-" + std::to_string(i), 2, 3000, 100));
+      w.Pass(micros{2000});
+    }
+  }
+};
+
+// Guards against accepted jobs that never run: the only worker of a label is
+// lost for good, and a job that needs it stands before them.
+TEST_CASE_METHOD(overdue_jobs, "overdue_job_without_worker_others_still_run") {
+  w.workers[0].labels = {"rare"};
+  w.Pass(Millis(1500));
+  emulated_job rare = MakeDurable("rare", 1, 1000, 30'000);
+  rare.steps.front().label = "rare";
+  rare.steps.front().expected_ms = 100;
+  SubmitBacklogBehind(std::move(rare));
+  w.CrashWorker(0, Millis(1'000'000));
+  w.Pass(Millis(20'000));
+  CHECK(w.Count(job_fate::completed) == 600);
+  const std::string metrics = LeasedPrometheusText(w.entries[0].core->leased);
+  CHECK(metrics.find("jobs_without_worker_by_label{label=\"rare\"} ") !=
+        std::string::npos);
+  RequireNothingBroken();
+}
+
+// Guards against the same where a job waits since each worker has as many of
+// its tasks as it may have.
+TEST_CASE_METHOD(overdue_jobs, "overdue_job_spread_out_others_still_run") {
+  emulated_job spread = MakeDurable("spread", 5, 1000, 30'000);
+  spread.steps.front().max_per_worker = 1;
+  spread.steps.front().expected_ms = 100;
+  SubmitBacklogBehind(std::move(spread));
+  w.Pass(Millis(15'000));
+  CHECK(w.Count(job_fate::completed) == 600);
+}
+
+// Guards against the same among jobs that are not overdue: more of them have no
+// worker than are tried in one pass.
+TEST_CASE_METHOD(durable_jobs, "jobs_without_worker_others_start_at_once") {
+  for (int i = 0; i < 40; ++i) {
+    emulated_job rare =
+        MakeDurable("rare-" + std::to_string(i), 1, 1000 - i, 20'000);
+    rare.steps.front().label = "rare";
+    w.SubmitTo(0, std::move(rare));
+  }
+  w.Pass(Millis(100));
+  w.SubmitTo(0, MakeDurable("job", 2, 1000, 100));
+  w.Pass(Millis(500));
+  CHECK(w.jobs["job"].done_at.value != 0);
+}
+
 // ---- [8] Seeded runs --------------------------------------------------------
 
 TEST_CASE("durable_jobs_seeded_faults_no_violations") {
