A failed run counts once, from wherever its end is found

Attempts were counted by arrivals: each end `failed` that reached the owner added one. A sidecar reports an end that its owner has not stored in time to all entries again; the owner dropped such a copy only while it was storing that end. A copy on its way when the store answered counted as a second failed run.

Which runs were counted is part of the job: in memory and in its progress row ("failed_runs"). Counting a run again changes nothing, and its end is resolved once the row is stored. Rows keep the number as well, for entries of earlier versions; where a row has only that, an end that an earlier owner may have counted is neither counted nor forgotten: its worker's lease expires first, which is right in both cases. The limit on attempts (BUDGET) uses the same set.

The emulator counts exactly: a job may be shown as failed only if a task ended failed as often as it may. So far any hopeless job passed.

--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -104,8 +104,11 @@
 struct leased_task_row {
   leased_task task;
   leased_task_state state = leased_task_state::blocked;
-  uint32_t run = 0;            // newest run
-  uint32_t failed = 0;         // number of failed runs
+  uint32_t run = 0;  // newest run
+  // Failed runs that count against its attempts.
+  std::vector<uint32_t> failed_runs;
+  // More of them, counted by an owner whose version did not store which.
+  uint32_t unnamed_failures = 0;
   uint32_t abandoned_run = 0;  // newest run given up with its end unknown
   uint32_t moves = 0;          // runs stopped because their worker was slow
   bool moving = false;         // a stop of this run has been sent
--- a/src/core/durable_ends.cc
+++ b/src/core/durable_ends.cc
@@ -74,7 +74,7 @@
   counts,          // its task has not started again; the end is valid
   failure_counts,  // its task has started again, but the failed run counts
                    // against its attempts
-  known,           // it has been counted, but may not be stored yet
+  known,           // it has been counted, and may not be stored yet
   irrelevant,      // it has no consequences
   too_late,  // its task has started again, which this end would have prevented
   unknown,   // its job is not known here
@@ -87,6 +87,13 @@
 orphan_kind ClassifyTaskEnd(const leased_job& job,
                             const leased_task_row& row,
                             const run_end& end) {
+  const bool failed = end.kind == run_end_kind::failed;
+  if (failed && IsCountedFailure(row, end.ref.run))
+    return orphan_kind::known;
+  // It may be one of those, or not.
+  if (failed && row.unnamed_failures != 0 &&
+      end.ref.run < FirstRun(job.durable.epoch))
+    return orphan_kind::too_late;
   const bool newest = end.ref.run == row.run;
   const bool is_over = row.state == leased_task_state::done ||
                        job.durable.stage == durable_stage::ending;
@@ -104,9 +111,8 @@
     return orphan_kind::counts;
   // The task has started again since. That is harmless unless this failure was
   // the last one allowed, in which case the task must not have started again.
-  const bool harmless = end.kind == run_end_kind::failed &&
-                        job.durable.stage != durable_stage::ending &&
-                        row.failed + 1 < job.queue.max_attempts;
+  const bool harmless = failed && job.durable.stage != durable_stage::ending &&
+                        CountedFailures(row) + 1 < job.queue.max_attempts;
   return harmless ? orphan_kind::failure_counts : orphan_kind::too_late;
 }
 
@@ -160,7 +166,7 @@
              s.workers[id.value].name);
   AddUnsavedEnd(s, job, id, end);
   if (end.kind == run_end_kind::failed) {
-    CountFailedRun(s, now, job, row);
+    CountFailedRun(s, now, job, row, end.ref.run);
     return;
   }
   std::erase(job.waiting, static_cast<uint32_t>(&row - job.tasks.data()));
@@ -227,7 +233,7 @@
     case orphan_kind::failure_counts: {
       leased_job& job = *FindLeasedJob(s.leased, end.ref.task.job);
       AddUnsavedEnd(s, job, id, end);
-      CountFailedRun(s, now, job, *FindTask(job, end.ref.task));
+      CountFailedRun(s, now, job, *FindTask(job, end.ref.task), end.ref.run);
       return;
     }
     case orphan_kind::known:
--- a/src/core/durable_rows.cc
+++ b/src/core/durable_rows.cc
@@ -13,6 +13,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "leased_systems.h"
+
 namespace cassiaferry {
 
 using nlohmann::json;
@@ -151,19 +153,24 @@
 std::string ProgressRow(const leased_job& job) {
   json done = json::array();
   json failed = json::array();
+  json failed_runs = json::array();
   json given_up = json::array();
   for (size_t i = 0; i < job.tasks.size(); ++i) {
     const leased_task_row& row = job.tasks[i];
     if (row.state == leased_task_state::done)
       done.push_back(i);
-    if (row.failed != 0)
-      failed.push_back({i, row.failed});
+    if (CountedFailures(row) != 0)
+      failed.push_back({i, CountedFailures(row)});
+    if (!row.failed_runs.empty())
+      failed_runs.push_back({i, row.failed_runs});
     if (row.abandoned_run != 0)
       given_up.push_back({i, row.abandoned_run});
   }
   json j = {{"done", std::move(done)}};
   if (!failed.empty())
     j["failed"] = std::move(failed);
+  if (!failed_runs.empty())
+    j["failed_runs"] = std::move(failed_runs);
   if (!given_up.empty())
     j["given_up"] = std::move(given_up);
   return Dump(j);
@@ -186,6 +193,23 @@
          j[1].is_number_unsigned();
 }
 
+// Reads which failed runs were counted: [[task index, [run, ...]], ...].
+void ReadFailedRuns(const json& pairs, leased_job& job) {
+  for (const json& pair : pairs) {
+    const bool valid = pair.is_array() && pair.size() == 2 &&
+                       ReadIndex(pair[0]) < job.tasks.size() &&
+                       pair[1].is_array();
+    if (!valid)
+      continue;
+    leased_task_row& row = job.tasks[ReadIndex(pair[0])];
+    for (const json& run : pair[1]) {
+      if (run.is_number_unsigned() &&
+          !IsCountedFailure(row, run.get<uint32_t>()))
+        row.failed_runs.push_back(run.get<uint32_t>());
+    }
+  }
+}
+
 }  // namespace
 
 void ReadProgressRow(const std::string& progress_row, leased_job& job) {
@@ -199,9 +223,15 @@
     ++job.done;
     --job.step_tasks_left[job.tasks[i].task.step];
   }
+  ReadFailedRuns(ListField(j, "failed_runs", empty_list), job);
+  // A row of an earlier version has the counts alone.
   for (const json& pair : ListField(j, "failed", empty_list)) {
-    if (IsIndexedPair(pair, job.tasks.size()))
-      job.tasks[ReadIndex(pair[0])].failed = pair[1].get<uint32_t>();
+    if (!IsIndexedPair(pair, job.tasks.size()))
+      continue;
+    leased_task_row& row = job.tasks[ReadIndex(pair[0])];
+    const auto counted = pair[1].get<uint32_t>();
+    const uint32_t named = CountedFailures(row);
+    row.unnamed_failures = counted > named ? counted - named : 0;
   }
   for (const json& pair : ListField(j, "given_up", empty_list)) {
     if (IsIndexedPair(pair, job.tasks.size()))
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -542,16 +542,30 @@
     ReleaseTasks(s.leased, job);
 }
 
+uint32_t CountedFailures(const leased_task_row& row) {
+  return row.unnamed_failures + static_cast<uint32_t>(row.failed_runs.size());
+}
+
+bool IsCountedFailure(const leased_task_row& row, uint32_t run) {
+  return std::find(row.failed_runs.begin(), row.failed_runs.end(), run) !=
+         row.failed_runs.end();
+}
+
 bool CountFailedRun(entry_state& s,
                     micros now,
                     leased_job& job,
-                    leased_task_row& row) {
+                    leased_task_row& row,
+                    uint32_t run) {
+  if (IsCountedFailure(row, run))
+    return false;
+  row.failed_runs.push_back(run);
   MarkUnsaved(s, job);
-  if (++row.failed < job.queue.max_attempts)
+  const uint32_t failures = CountedFailures(row);
+  if (failures < job.queue.max_attempts)
     return false;
   EndJob(s, now, job, leased_outcome::failed,
          {verdict::ran, reason::task_failed,
-          "a task failed " + std::to_string(row.failed) + " times", 0});
+          "a task failed " + std::to_string(failures) + " times", 0});
   return true;
 }
 
@@ -561,11 +575,11 @@
                micros now,
                leased_job& job,
                leased_task_row& row,
-               run_end_kind how) {
-  if (how == run_end_kind::superseded)
+               const run_end& end) {
+  if (end.kind == run_end_kind::superseded)
     row.run += kRunNumberStep;
-  const bool failed =
-      how == run_end_kind::failed && CountFailedRun(s, now, job, row);
+  const bool failed = end.kind == run_end_kind::failed &&
+                      CountFailedRun(s, now, job, row, end.ref.run);
   if (!failed)
     AddWaitingTask(s.leased, job,
                    static_cast<uint32_t>(&row - job.tasks.data()));
@@ -685,7 +699,7 @@
   if (end.kind == run_end_kind::done)
     FinishLeasedTask(s, now, *job, *row);
   else
-    RetryTask(s, now, *job, *row, end.kind);
+    RetryTask(s, now, *job, *row, end);
 }
 
 // ---- [5] Queries ------------------------------------------------------------
@@ -702,7 +716,7 @@
   nlohmann::json workers = nlohmann::json::array();
   uint32_t failed = 0;
   for (const leased_task_row& row : job.tasks) {
-    failed += row.failed;
+    failed += CountedFailures(row);
     if (row.state == leased_task_state::placed)
       workers.push_back(s.workers[row.worker.value].name);
   }
--- a/src/core/leased_systems.h
+++ b/src/core/leased_systems.h
@@ -103,12 +103,16 @@
                       micros now,
                       leased_job& job,
                       leased_task_row& row);
-// Counts a failed run against the task's attempts. Returns whether the job
-// failed with it.
+// Failed runs that count against the task's attempts.
+uint32_t CountedFailures(const leased_task_row& row);
+bool IsCountedFailure(const leased_task_row& row, uint32_t run);
+// Counts a failed run against the task's attempts, once however often its end
+// is found. Returns whether the job failed with it.
 bool CountFailedRun(entry_state& s,
                     micros now,
                     leased_job& job,
-                    leased_task_row& row);
+                    leased_task_row& row,
+                    uint32_t run);
 
 // ---- [4] Workers (leased_workers.cc) ----------------------------------------
 
--- a/src/emulator/durable_world.cc
+++ b/src/emulator/durable_world.cc
@@ -199,8 +199,7 @@
       break;
     case leased_job_state::failed:
       job.fate = job_fate::failed;
-      if (!job.hopeless)
-        Broken("shown as failed without cause: " + id);
+      CheckFailed(id);
       return;
     case leased_job_state::cancelled:
       job.fate = job_fate::cancelled;
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -214,6 +214,7 @@
   std::vector<leased_step> steps;
   std::vector<int64_t> run_ms;  // of each task
   bool hopeless = false;        // every run of it fails
+  size_t failing_runs = 0;      // of each durable task: its first ones fail
   size_t payload_bytes = 4;
   int64_t wait_ms = 0;
   micros first_sent{0};
--- a/src/emulator/worker_world.cc
+++ b/src/emulator/worker_world.cc
@@ -213,7 +213,8 @@
   run.ends =
       now +
       micros{static_cast<int64_t>(static_cast<double>(ms) * 1000 * w.slowness)};
-  run.will_fail = job.hopeless || w.fails_all;
+  run.will_fail =
+      job.hopeless || w.fails_all || FailedRunsOf(task) < job.failing_runs;
   Log("worker " + std::to_string(worker),
       "start " + task.job + "." + std::to_string(task.index) + " run " +
           std::to_string(c.start.ref.run));
--- a/tests/durable_unit_test.cc
+++ b/tests/durable_unit_test.cc
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "emulated_fixtures.h"
 #include "emulator/seeded_day.h"
 
 namespace cassiaferry::emulator {
@@ -438,6 +439,53 @@
   RequireNothingBroken();
 }
 
+// Guards against a job that fails too early: the end of a failed run, reported
+// again while the store was down, counts twice.
+TEST_CASE("failed_run_reported_again_counts_once") {
+  constexpr int kWorkers = 11;
+  for (int64_t outage_ms = 2400; outage_ms <= 3000; outage_ms += 100) {
+    INFO("outage of ms " << outage_ms);
+    world_options options = WithStore();
+    options.workers = kWorkers;
+    options.link_delay = Millis(40);  // the copies are long on their way
+    world w(options);
+    w.Pass(Millis(1500));
+    for (int i = 0; i < 4; ++i) {
+      emulated_job job =
+          MakeDurable("hopeless-" + std::to_string(i), kWorkers, 500, 3000);
+      job.hopeless = true;
+      job.steps.front().max_per_worker = 1;
+      w.SubmitTo(i % options.entries, std::move(job));
+    }
+    w.Pass(Millis(2200));
+    w.StoreFault(Millis(outage_ms), "down",
+                 [](emulated_store& store) { store.down = true; });
+    w.Pass(Millis(25'000));
+    CHECK(w.Count(job_fate::failed) == 4);
+    w.CheckHistories();
+    RequireNoneBroken(w.violations);
+  }
+}
+
+// Guards against the same after a takeover: the failed run was counted and
+// stored, and the sidecar still holds its end when the owner dies.
+TEST_CASE("failed_run_found_after_takeover_counts_once") {
+  for (int64_t kill_ms = 400; kill_ms <= 1600; kill_ms += 5) {
+    INFO("killed after ms " << kill_ms);
+    world w(WithStore());
+    w.Pass(Millis(1500));
+    emulated_job job = MakeDurable("hopeless", 2, 1000, 400);
+    job.hopeless = true;
+    w.SubmitTo(0, std::move(job));
+    w.Pass(Millis(kill_ms));
+    w.KillEntry(0);
+    w.Pass(Millis(15'000));
+    CHECK(w.jobs["hopeless"].fate == job_fate::failed);
+    w.CheckHistories();
+    RequireNoneBroken(w.violations);
+  }
+}
+
 // The owner is alive and connected to its sidecars, but cut off from the store.
 // The ends that it has received and can't store count for the next owner.
 TEST_CASE_METHOD(durable_jobs, "owner_cut_from_store_its_ends_count") {
