--- a/model/journal.pml
+++ b/model/journal.pml
@@ -19,6 +19,7 @@
  *   ACK_EARLY      an end is acknowledged before it is stored
  *   NO_ABANDON     that a run was abandoned is not stored before the next starts
  *   NO_EXPIRY      an end that came too late is acknowledged at once
+ *   ACK_UNKNOWN    E acknowledges an end that reaches it after it has left the job
  */
 
 #define ACCEPT 1
@@ -129,7 +130,13 @@
   /* the end of an abandoned run is received after the next run has begun */
   :: atomic { !e_deposed && e_op == 0 && e_run == 2 && done[1] && !acked[1] -> too_late(1) }
   :: e_deposed -> break
+  od;
+#ifdef ACK_UNKNOWN
+end_left:
+  do
+  :: atomic { e_run != 0 && done[e_run] && !acked[e_run] -> acknowledge(e_run) }
   od
+#endif
 }
 
 active proctype store() {
