Placing: the search for a worker in a function of its own; bounds of labels shown

Jobs without a worker are left out of the work ahead of others only while workers of their upstream take work: while none does, predictions are as before. The search over all workers for a job's own limit is made only where the step has one. Labels in the log are as bounded as in metrics.

--- a/src/core/durable_ends.cc
+++ b/src/core/durable_ends.cc
@@ -90,7 +90,7 @@
   const bool failed = end.kind == run_end_kind::failed;
   if (failed && IsCountedFailure(row, end.ref.run))
     return orphan_kind::known;
-  // It may be one of those, or not.
+  // An owner of an earlier version may have counted it.
   if (failed && row.unnamed_failures != 0 &&
       end.ref.run < FirstRun(job.durable.epoch))
     return orphan_kind::too_late;
--- a/src/core/leased_admission.cc
+++ b/src/core/leased_admission.cc
@@ -147,7 +147,7 @@
     }
     // Failure guarded against: jobs that wait for a worker that is gone let
     // others be refused, though workers are idle.
-    if (HasNoWorker(s, capacities, job))
+    if (IsWithoutWorkerAlone(s, capacities, job))
       continue;
     ahead += static_cast<double>(WaitingCpu(job)) *
              static_cast<double>(job.expected.value);
--- a/src/core/leased_capacity.cc
+++ b/src/core/leased_capacity.cc
@@ -97,6 +97,13 @@
   });
 }
 
+bool IsWithoutWorkerAlone(const leased_state& s,
+                          group_capacities& known,
+                          const leased_job& job) {
+  return HasNoWorker(s, known, job) &&
+         LargestOf(s, known, {job.queue.upstream, ""}) != resources{};
+}
+
 std::map<std::string, size_t> JobsWithoutWorker(const leased_state& s) {
   std::map<std::string, size_t> jobs;
   group_capacities known;
@@ -112,7 +119,6 @@
 
 void LogJobsWithoutWorker(entry_state& s, micros now) {
   constexpr micros kEvery = Millis(1000);
-  constexpr size_t kMaxNamed = 20;
   leased_state& l = s.leased;
   if (now - l.without_worker_checked_at < kEvery)
     return;
@@ -120,11 +126,11 @@
   std::set<std::string> labels;
   std::string text;
   for (const auto& [label, jobs] : JobsWithoutWorker(l)) {
-    if (labels.size() == kMaxNamed)
+    if (labels.size() == kMaxLabelsShown)
       break;
     labels.insert(label);
     text += (text.empty() ? "" : ", ") + std::to_string(jobs) + " of label '" +
-            label + "'";
+            label.substr(0, kMaxLabelLength) + "'";
   }
   if (labels == l.logged_without_worker)
     return;
--- a/src/core/leased_capacity.h
+++ b/src/core/leased_capacity.h
@@ -69,6 +69,15 @@
 bool HasNoWorker(const leased_state& s,
                  group_capacities& known,
                  const leased_job& job);
+// Whether the job has no worker while others of its upstream take work.
+bool IsWithoutWorkerAlone(const leased_state& s,
+                          group_capacities& known,
+                          const leased_job& job);
+
+// Labels are from callers: of how many, and of how much of each, operators
+// read.
+constexpr size_t kMaxLabelsShown = 20;
+constexpr size_t kMaxLabelLength = 64;
 
 // Number of waiting and overdue jobs that have no worker, by the label that
 // they need; "": any worker, but none is large enough.
--- a/src/core/leased_metrics.cc
+++ b/src/core/leased_metrics.cc
@@ -81,8 +81,7 @@
 
 // Labels are from callers: they may hold any characters.
 std::string LabelText(std::string label) {
-  constexpr size_t kMaxLength = 64;
-  label.resize(std::min(label.size(), kMaxLength));
+  label.resize(std::min(label.size(), kMaxLabelLength));
   std::replace_if(
       label.begin(), label.end(),
       [](char c) { return c == '"' || c == '\\' || c == '\n'; }, '_');
@@ -90,13 +89,12 @@
 }
 
 void AppendJobsWithoutWorker(std::string& out, const leased_state& s) {
-  constexpr size_t kMaxLabels = 20;
   const std::string name = "cassiaferry_leased_jobs_without_worker";
   size_t all = 0;
   size_t labels = 0;
   for (const auto& [label, jobs] : JobsWithoutWorker(s)) {
     all += jobs;
-    if (++labels <= kMaxLabels)
+    if (++labels <= kMaxLabelsShown)
       AppendMetric(out, name + "_by_label", LabelText(label),
                    static_cast<double>(jobs));
   }
--- a/src/core/leased_placing.cc
+++ b/src/core/leased_placing.cc
@@ -131,7 +131,8 @@
   if (!MaySendPayload(s.leased.link))
     return;
   ++pass.tries;
-  if (HasCapacityFor(s, job, step)) {
+  const bool is_limited = job.steps[step].max_per_worker != 0;
+  if (is_limited && HasCapacityFor(s, job, step)) {
     job.next_try = now + kTryAgainAfter;
     return;
   }
@@ -139,6 +140,22 @@
   CountUnmetJob(pass, job, step);
 }
 
+std::optional<worker_id> FindWorker(entry_state& s,
+                                    micros now,
+                                    leased_job& job,
+                                    uint32_t step,
+                                    uint32_t tasks,
+                                    placing_pass& pass) {
+  if (IsUnmet(pass, job, step)) {
+    CountUnmetJob(pass, job, step);
+    return std::nullopt;
+  }
+  const auto worker = ChooseForPayload(s, now, job, step, tasks);
+  if (!worker)
+    HandleNoWorker(s, now, job, step, pass);
+  return worker;
+}
+
 // Places as many of the job's waiting tasks as possible, on few workers: each
 // worker gets one copy of the payload, and an unhealthy worker affects fewer
 // jobs. On links of 250 kB/s, at a load that fits, 0.95 instead of 0.24 of the
@@ -153,27 +170,17 @@
   auto unplaced = static_cast<uint32_t>(job.waiting.size());
   for (uint32_t index : job.waiting) {
     const uint32_t step = job.tasks[index].task.step;
-    if (step == full_step) {
-      left.push_back(index);
-      --unplaced;
-      continue;
-    }
-    if (!worker || !MayPlaceOneMore(s, *worker, job, step)) {
-      if (IsUnmet(pass, job, step)) {
-        worker.reset();
-        CountUnmetJob(pass, job, step);
-      } else {
-        worker = ChooseForPayload(s, now, job, step, unplaced);
-        if (!worker)
-          HandleNoWorker(s, now, job, step, pass);
-      }
+    const bool may_fit = step != full_step;
+    if (may_fit && (!worker || !MayPlaceOneMore(s, *worker, job, step))) {
+      worker = FindWorker(s, now, job, step, unplaced, pass);
       if (!worker)
         full_step = step;
     }
     --unplaced;
-    if (worker)
+    const bool fits = may_fit && worker;
+    if (fits)
       PlaceTask(s, now, job, index, *worker);
-    (worker ? placed : left).push_back(index);
+    (fits ? placed : left).push_back(index);
   }
   if (first && job.started)
     RecordJobStart(s, now, job);
