--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -541,6 +541,22 @@
     def note(self, text):
         self.notes.append(f"{self.now():9.3f} {text}")
 
+    async def add_side(self, zone, worker_args=None):
+        """A machine with a worker and a sidecar; the caller starts the sidecar."""
+        i = len(self.workers)
+        w = Worker(self, f"w{i}", "slots", **(worker_args or {}))
+        w.zone = zone
+        w.control = f"{HOST}:{free_port()}"
+        await w.start()
+        self.workers.append(w)
+        self.sidecars.append(Process(self, "cassiaferry-sidecar", f"side-{i}", {
+            "name": f"side-{i}", "failure_domain": zone, "http": w.control,
+            "seeds": [], "worker": w.address,
+            "store": await self.store.port_for(f"side-{i}"),
+            "lease_max_ms": HOLD_MAX_MS, "resend_after_ms": RESEND_MS,
+            "stop_grace_s": 6, "worker_record": "store"}))
+        return self.sidecars[-1]
+
     async def build(self, entries, workers, queues, worker_args=None,
                     zones=("zone-a",)):
         """queues: name -> (path prefix, fields of the route). Machines are
@@ -553,18 +569,7 @@
             "services": [{"name": "slots", "admissionCheck": False}],
             "limits": {}})
         for i in range(workers):
-            w = Worker(self, f"w{i}", "slots", **(worker_args or {}))
-            w.zone = zones[i % len(zones)]
-            control = f"{HOST}:{free_port()}"
-            w.control = control
-            await w.start()
-            self.workers.append(w)
-            self.sidecars.append(Process(self, "cassiaferry-sidecar", f"side-{i}", {
-                "name": f"side-{i}", "failure_domain": w.zone, "http": control,
-                "seeds": [], "worker": w.address,
-                "store": await self.store.port_for(f"side-{i}"),
-                "lease_max_ms": HOLD_MAX_MS, "resend_after_ms": RESEND_MS,
-                "stop_grace_s": 6, "worker_record": "store"}))
+            await self.add_side(zones[i % len(zones)], worker_args)
         for i in range(entries):
             self.entries.append(Process(self, "cassiaferry-entry", f"edge-{i}", {
                 "name": f"edge-{i}", "failure_domain": zones[i % len(zones)],
