--- a/review/9/case.cc
+++ b/review/extra-large/case.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "../lib-3/rig.h"
+#include "../lib-2/rig.h"
 
 namespace {
 
--- a/review/13/case.cc
+++ b/review/extra-waiting/case.cc
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-#include "../lib-3/rig.h"
+#include "../lib-2/rig.h"
 
 namespace {
 
