--- a/review/lib-2/rig.cc
+++ b/review/lib-2/rig.cc
@@ -1045,7 +1045,9 @@
 std::string TemporaryFolder() {
   std::string name =
       std::filesystem::temp_directory_path() / "cassiaferry-review-XXXXXX";
-  return mkdtemp(name.data()) == nullptr ? std::string("/tmp") : name;
+  if (mkdtemp(name.data()) == nullptr)
+    std::_Exit(kCouldNotRun);
+  return name;
 }
 
 constexpr char kHost[] = "Host: nony24.example";
