--- a/include/cassiaferry/lease_manager.h
+++ b/include/cassiaferry/lease_manager.h
@@ -306,6 +306,9 @@
   int64_t clock_ms = 0;     // the worker's clock in its newest answer
   micros clock_at{0};       // when that answer arrived
   micros leases_end_at{0};  // no lease granted so far ends after this
+  // End of the newest lease granted in this session, on the worker's clock; 0:
+  // none was.
+  int64_t granted_lease_ms = 0;
   micros last_answer{0};
   micros last_unanswered_at{0};  // newest call without an answer; 0: none
   uint64_t calls_unanswered = 0;
--- a/model/check.sh
+++ b/model/check.sh
@@ -43,7 +43,7 @@
 expect holds claims
 for m in NO_OWNER_QUERY NO_VERSION ABSENT_IS_WON FORGET_STARTED CRASHED_IS_FREE; do expect violated claims $m; done
 expect holds leases
-for m in NO_OWNER_LEASE NO_ECHO NO_START_EXPIRY NO_LEASE NO_CANCEL ACTS_UNREAD RENEWS_UNREAD END_OVERTAKES_REQUEST FROM_STAMP TRUSTS_NOTICE; do expect violated leases $m; done
+for m in NO_OWNER_LEASE NO_ECHO NO_START_EXPIRY NO_LEASE NO_CANCEL ACTS_UNREAD RENEWS_UNREAD END_OVERTAKES_REQUEST FROM_STAMP TRUSTS_NOTICE STARTS_EXTEND; do expect violated leases $m; done
 # Assumptions of the bound: each holds up to its limit and fails one step beyond.
 expect violated leases NET=3
 expect holds leases NET=0 PAUSE=2
--- a/model/leases.pml
+++ b/model/leases.pml
@@ -35,6 +35,8 @@
  *                          that it has read with it, and drops the end
  *   FROM_STAMP             A takes the run for over by the sidecar's last stamp
  *                          alone
+ *   STARTS_EXTEND          a start of another run on the worker extends the lease
+ *                          while the stop of this one is unanswered
  *   TRUSTS_NOTICE          the sidecar reports the run as lost on a notice about
  *                          its worker
  *
@@ -285,7 +287,10 @@
      :: s_run && now > s_owner_lease -> s_run = false; w_run = false; w_over = true /* stopped */
      :: s_run && now > s_owner_lease -> s_run = false /* the stop gets lost */
      :: s_run && now <= s_owner_lease && w_run && !s_verifies -> w_lease = now + LEASE
-     :: else
+#ifdef STARTS_EXTEND
+     :: !s_run && w_run -> w_lease = now + LEASE
+#endif
+     :: else /* starts of other runs carry the lease that stands */
      fi
 #endif
   fi
--- a/src/apps/emulate_main.cc
+++ b/src/apps/emulate_main.cc
@@ -48,6 +48,10 @@
             false,
             "with --days or --replay: tasks of unequal length, some fail at "
             "first, some need a worker that is lost in the end");
+DEFINE_bool(ends_callers_time,
+            false,
+            "with --days or --replay: callers' time ends while long tasks run, "
+            "beside short jobs, and stops are left unanswered");
 DEFINE_bool(bound,
             false,
             "play the load against the most that any schedule could earn, and "
@@ -101,19 +105,23 @@
           FLAGS_chooses_entries,
           FLAGS_worker_records,
           FLAGS_stops_processes,
-          FLAGS_mixes_work};
+          FLAGS_mixes_work,
+          FLAGS_ends_callers_time};
 }
 
 int PlayDays() {
   size_t broken = 0;
   size_t jobs = 0;
+  size_t completed = 0;
   for (uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_days; ++seed) {
     const day_report day = PlaySeededDay(DayOf(seed));
     jobs += day.jobs;
+    completed += day.completed;
     broken += PrintDay(day) ? 0 : 1;
   }
-  std::printf("%llu days, %zu jobs, %zu days broken\n",
-              static_cast<unsigned long long>(FLAGS_days), jobs, broken);
+  std::printf("%llu days, %zu jobs, %zu completed, %zu days broken\n",
+              static_cast<unsigned long long>(FLAGS_days), jobs, completed,
+              broken);
   return broken == 0 ? kExitOk : kExitFailed;
 }
 
--- a/src/core/lease_manager.cc
+++ b/src/core/lease_manager.cc
@@ -113,14 +113,44 @@
   return m.clock_ms + ToMillis(now - m.clock_at);
 }
 
+// Whether the lease of this run must not be extended. Its owner takes the run
+// for over when no lease can be left that was granted before the owner lease
+// expired or before the stop was ordered.
+bool MustExpire(const lease_manager_state& m,
+                micros now,
+                const managed_run& run) {
+  if (WaitsForResources(run) || run.stop_confirmed)
+    return false;
+  const bool overdue = run.state == run_state::stopping &&
+                       now - run.stop_ordered_at > m.options.bounds.margin;
+  return overdue || !HasOwnerLease(m, now, run.owner);
+}
+
+// Failure guarded against: a worker answers polls and starts, but not stops.
+// Each of these calls would extend the lease of runs that have no owner any
+// more, while their tasks run elsewhere. All runs on a worker share one lease.
+bool MayExtendLease(const lease_manager_state& m, micros now) {
+  return m.expiry_pending_until.value == 0 && !SessionMayBeOver(m) &&
+         m.orphan_runs.empty() &&
+         std::none_of(m.runs.begin(), m.runs.end(), [&](const auto& row) {
+           return MustExpire(m, now, row.second);
+         });
+}
+
 // Failure guarded against: a start is buffered, here or in the network, while
 // this process or the worker's machine is frozen, and is carried out seconds
 // later, when its task runs elsewhere. So the start carries the time on the
 // worker's clock at which its lease ends; after that the worker refuses it.
+// It is the end of the newest lease granted while that must not be extended.
 int64_t GrantLease(lease_manager_state& m, micros now) {
+  if (!MayExtendLease(m, now))
+    return m.granted_lease_ms;
   m.leases_end_at =
       std::max(m.leases_end_at, now + LeaseExpiredAfter(m.options.bounds));
-  return WorkerClock(m, now) + ToMillis(m.options.bounds.lease);
+  m.granted_lease_ms =
+      std::max(m.granted_lease_ms,
+               WorkerClock(m, now) + ToMillis(m.options.bounds.lease));
+  return m.granted_lease_ms;
 }
 
 void CallStop(lease_manager_state& m, micros now, const run_ref& ref) {
@@ -130,6 +160,11 @@
 
 }  // namespace
 
+bool LeaseLasts(const lease_manager_state& m, micros now, int64_t run_ms) {
+  return MayExtendLease(m, now) ||
+         WorkerClock(m, now) + run_ms < m.granted_lease_ms;
+}
+
 void CallStart(lease_manager_state& m, micros now, managed_run& run) {
   ++run.start_attempts;
   run.last_call_at = now;
@@ -147,6 +182,7 @@
                    micros now,
                    const managed_run& run) {
   return run.state == run_state::waiting && AcceptsLeasedWork(m, now) &&
+         LeaseLasts(m, now, run.start.expected_ms) &&
          now - run.since <= m.options.max_start_wait;
 }
 
@@ -215,29 +251,6 @@
   return m.last_poll_failed ? 0 : AckedEnds(m);
 }
 
-// Whether the lease of this run must not be extended. Its owner takes the run
-// for over when no lease can be left that was granted before the owner lease
-// expired or before the stop was ordered.
-bool MustExpire(const lease_manager_state& m,
-                micros now,
-                const managed_run& run) {
-  if (WaitsForResources(run) || run.stop_confirmed)
-    return false;
-  const bool overdue = run.state == run_state::stopping &&
-                       now - run.stop_ordered_at > m.options.bounds.margin;
-  return overdue || !HasOwnerLease(m, now, run.owner);
-}
-
-// Failure guarded against: a worker answers polls and doesn't answer stops.
-// Each poll would extend the lease of runs that have no owner any more, while
-// their tasks run elsewhere. All runs on a worker share one lease.
-bool AnyMustExpire(const lease_manager_state& m, micros now) {
-  return !m.orphan_runs.empty() ||
-         std::any_of(m.runs.begin(), m.runs.end(), [&](const auto& row) {
-           return MustExpire(m, now, row.second);
-         });
-}
-
 }  // namespace
 
 void CallPoll(lease_manager_state& m, micros now) {
@@ -254,8 +267,7 @@
   // covered by a lease for as long as it is polled.
   const bool answers = now - m.last_answer <= m.options.suspect_after;
   const bool extends = m.reconciled && m.has_clock && !m.runs.empty() &&
-                       answers && m.expiry_pending_until.value == 0 &&
-                       !SessionMayBeOver(m) && !AnyMustExpire(m, now);
+                       answers && MayExtendLease(m, now);
   poll.lease_until_ms = extends ? GrantLease(m, now) : 0;
   const bool waits = m.reconciled && !m.successor;
   poll.wait_ms = waits ? ToMillis(PollWait(m, now)) : 0;
@@ -293,7 +305,8 @@
 void RetryStart(lease_manager_state& m, micros now, managed_run& run) {
   if (run.start_attempts < m.options.max_start_attempts &&
       m.expiry_pending_until.value == 0 && !SessionMayBeOver(m) &&
-      HasOwnerLease(m, now, run.owner))
+      HasOwnerLease(m, now, run.owner) &&
+      LeaseLasts(m, now, run.start.expected_ms))
     CallStart(m, now, run);
   else
     StopRun(m, now, run);
@@ -379,7 +392,8 @@
 // Compares the known runs with those that the answer to poll number `poll`
 // lists. A run is over if it is not listed and was confirmed, or its stop was
 // answered, before that poll was sent: its end was listed and forgotten, or it
-// never began.
+// never began. So is one whose stop is never answered, once no lease was left
+// when that poll was sent: a start that arrives later is refused.
 void CompareRunning(lease_manager_state& m,
                     micros now,
                     uint64_t poll,
@@ -387,11 +401,13 @@
   std::set<run_ref> listed;
   for (const listed_run& run : running)
     listed.insert(run.ref);
+  const bool lease_was_over =
+      m.poll_sent_at > m.leases_end_at + m.options.bounds.margin;
   std::vector<leased_task> over;
   for (const auto& [task, run] : m.runs) {
-    const bool confirmed =
-        run.state == run_state::running ||
-        (run.state == run_state::stopping && run.stop_confirmed);
+    const bool confirmed = run.state == run_state::running ||
+                           (run.state == run_state::stopping &&
+                            (run.stop_confirmed || lease_was_over));
     if (confirmed && run.polls_at_change < poll &&
         listed.count(run.start.ref) == 0)
       over.push_back(task);
@@ -550,7 +566,10 @@
   if (accepting != m.was_accepting)
     LogChange(m, accepting ? "takes work" : "takes no work",
               "last answer of the worker " +
-                  std::to_string(ToMillis(now - m.last_answer)) + " ms ago");
+                  std::to_string(ToMillis(now - m.last_answer)) + " ms ago" +
+                  (MayExtendLease(m, now) ? "" : ", its lease must end"));
+  for (auto& [name, owner] : m.owners)
+    owner.report_pending = owner.report_pending || accepting != m.was_accepting;
   m.was_accepting = accepting;
 }
 
@@ -558,7 +577,7 @@
   for (auto& [task, run] : m.runs) {
     const bool retries = run.state == run_state::stopping &&
                          !run.stop_confirmed && !run.call_open &&
-                         now - run.last_call_at >= m.options.call_timeout;
+                         now - run.last_call_at >= CallTimeout(m, now);
     if (!retries)
       continue;
     run.last_call_at = now;
@@ -566,7 +585,7 @@
     CallStop(m, now, run.start.ref);
   }
   for (auto& [ref, called] : m.orphan_runs) {
-    if (now - called < m.options.call_timeout)
+    if (now - called < CallTimeout(m, now))
       continue;
     called = now;
     CallStop(m, now, ref);
@@ -677,9 +696,12 @@
 }
 
 bool AcceptsLeasedWork(const lease_manager_state& m, micros now) {
+  constexpr int64_t kShortRunMs = 100;
   return m.announced && m.reconciled && m.has_clock && !m.draining &&
          !m.stopping && !m.closed && m.expiry_pending_until.value == 0 &&
-         !SessionMayBeOver(m) && now - m.last_answer <= m.options.suspect_after;
+         !SessionMayBeOver(m) &&
+         now - m.last_answer <= m.options.suspect_after &&
+         LeaseLasts(m, now, kShortRunMs);
 }
 
 void SetClosed(lease_manager_state& m, bool closed) {
--- a/src/core/lease_manager_orders.cc
+++ b/src/core/lease_manager_orders.cc
@@ -85,7 +85,8 @@
   // pause of this process arrive after their owner has given them up. The stamp
   // that they echo is too old to renew the owner lease.
   const bool acceptable = !start.compressed && AcceptsLeasedWork(m, now) &&
-                          HasOwnerLease(m, now, owner_name);
+                          HasOwnerLease(m, now, owner_name) &&
+                          LeaseLasts(m, now, start.expected_ms);
   const bool fits = Fits(start.need, FreeResourcesFor(m, now, owner_name));
   if (!acceptable || (!fits && !MayWait(m, now, start.need))) {
     ReportEnd(m, owner_name, start.ref, run_end_kind::never_started, 0);
--- a/src/core/lease_manager_sessions.cc
+++ b/src/core/lease_manager_sessions.cc
@@ -76,6 +76,7 @@
   m.draining = false;
   m.reconciled = false;
   m.has_clock = false;
+  m.granted_lease_ms = 0;
   m.seen = 0;
   m.session_since = now;
   m.last_answer = now;
--- a/src/core/lease_manager_systems.h
+++ b/src/core/lease_manager_systems.h
@@ -34,8 +34,11 @@
 inline bool WaitsForResources(const managed_run& run) {
   return run.state == run_state::waiting || run.state == run_state::withdrawn;
 }
+// Whether a run of this length that starts now would end before the worker's
+// lease does: always, while the lease may be extended.
+bool LeaseLasts(const lease_manager_state& m, micros now, int64_t run_ms);
 // Sends the start to the worker, again if it was sent before; extends the
-// lease.
+// lease, if it may be extended.
 void CallStart(lease_manager_state& m, micros now, managed_run& run);
 // Sends a status poll. If another poll is open, its answer will be ignored.
 void CallPoll(lease_manager_state& m, micros now);
--- a/src/emulator/leased_world.h
+++ b/src/emulator/leased_world.h
@@ -125,7 +125,8 @@
   std::vector<leased_worker_announced> past;  // newest words of earlier lives
   double slowness = 1;
   double late_share = 0;  // of orders: no answer, carried out seconds later
-  double clock_rate = 1;  // against true time
+  double late_stop_share = 0;  // the same of stops alone, if it is more
+  double clock_rate = 1;       // against true time
   micros clock_origin{0};
   uint64_t announcements = 0;
   uint64_t fence = 0;
--- a/src/emulator/seeded_day.cc
+++ b/src/emulator/seeded_day.cc
@@ -13,8 +13,9 @@
 
 constexpr int kSteps = 200;
 constexpr int kClosingDomains = 2;
-constexpr uint32_t kSwitchOneIn = 20;  // steps
-constexpr uint32_t kStopOneIn = 12;    // steps
+constexpr uint32_t kSwitchOneIn = 20;       // steps
+constexpr uint32_t kStopOneIn = 12;         // steps
+constexpr uint32_t kSwitchStopsOneIn = 15;  // steps
 constexpr micros kRecovery = Millis(30'000);
 
 // ---- [1] Faults -------------------------------------------------------------
@@ -141,6 +142,36 @@
     job.steps.front().label = kRareLabel;
 }
 
+// Many short jobs, and a long one whose caller's time ends while it runs: that
+// caller sends it again.
+void AddCallersInTime(world& w, int step) {
+  constexpr int kShortJobs = 3;
+  constexpr int kLongOneIn = 8;  // steps
+  constexpr int64_t kCpu = 500;
+  constexpr int64_t kShortMs = 60;
+  constexpr int64_t kLongMs = 3600;
+  constexpr int64_t kCallersTimeMs = 1500;
+  const auto submit = [&](const std::string& id, uint32_t tasks, int64_t ms) {
+    emulated_job job = MakeJob(id, tasks, kCpu, ms);
+    job.wait_ms = kCallersTimeMs;
+    w.Submit(std::move(job));
+  };
+  const std::string number = std::to_string(step);
+  for (int i = 0; i < kShortJobs; ++i)
+    submit("short-" + number + "-" + std::to_string(i), 4, kShortMs);
+  if (step % kLongOneIn == 0)
+    submit("long-" + number, 1, kLongMs);
+}
+
+// Workers begin to leave stops unanswered, or answer them all again; drawn
+// apart, as above.
+void SwitchStops(world& w, std::minstd_rand& draw) {
+  constexpr double kUnanswered = 1;  // of the stops: few among all orders
+  const bool begins = draw() % 2 == 0;
+  for (emulated_worker& worker : w.workers)
+    worker.late_stop_share = begins ? kUnanswered : 0;
+}
+
 }  // namespace
 
 void AddProcessFault(world& w, micros time) {
@@ -230,10 +261,17 @@
       SwitchDomain(w, draw);
     if (day.stops_processes && draw() % kStopOneIn == 0)
       StopProcess(w, draw);
+    if (day.ends_callers_time) {
+      AddCallersInTime(w, step);
+      if (draw() % kSwitchStopsOneIn == 0)
+        SwitchStops(w, draw);
+    }
     w.Pass(Millis(static_cast<int64_t>(w.random() % 150)));
   }
-  for (emulated_worker& worker : w.workers)
+  for (emulated_worker& worker : w.workers) {
     worker.late_share = 0;
+    worker.late_stop_share = 0;
+  }
   for (int domain = 0; domain < options.domains; ++domain)
     w.OpenDomain(domain);
   if (day.mixes_work)
--- a/src/emulator/seeded_day.h
+++ b/src/emulator/seeded_day.h
@@ -40,6 +40,9 @@
   // Tasks of a job take unequal times, some fail at first, and some need one of
   // the workers, which is lost in the end.
   bool mixes_work = false;
+  // Short jobs keep coming, callers' time ends while their long tasks run, and
+  // workers leave stops unanswered.
+  bool ends_callers_time = false;
 };
 
 // One fault, for about `time`, of an entry, a sidecar, a worker or the link
--- a/src/emulator/worker_world.cc
+++ b/src/emulator/worker_world.cc
@@ -47,7 +47,10 @@
     return;
   }
   const uint64_t life = sidecars[static_cast<size_t>(sidecar)].lives;
-  const bool late = Chance() < workers[static_cast<size_t>(sidecar)].late_share;
+  const emulated_worker& called = workers[static_cast<size_t>(sidecar)];
+  const bool is_stop = std::holds_alternative<call_run_stop>(call);
+  const bool late = Chance() < std::max(called.late_share,
+                                        is_stop ? called.late_stop_share : 0);
   const micros extra =
       late ? Millis(kLateFromMs +
                     static_cast<int64_t>(random() % (kLateToMs - kLateFromMs)))
