--- a/include/cassiaferry/ids.h
+++ b/include/cassiaferry/ids.h
@@ -32,6 +32,8 @@
 using link_epoch = strong_id<struct epoch_tag, uint64_t>;
 // Unique within an entry incarnation.
 using job_seq = strong_id<struct job_seq_tag, uint64_t>;
+// A leased job; unique within an entry incarnation.
+using leased_seq = strong_id<struct leased_seq_tag, uint64_t>;
 // Index into an entry's worker table.
 using worker_id = strong_id<struct worker_tag, uint32_t>;
 // Index into a sidecar's entry table.
--- a/include/cassiaferry/leased_jobs.h
+++ b/include/cassiaferry/leased_jobs.h
@@ -32,6 +32,7 @@
 #include "cassiaferry/log_budget.h"
 #include "cassiaferry/metrics.h"
 #include "cassiaferry/run_estimates.h"
+#include "cassiaferry/run_outcomes.h"
 #include "cassiaferry/system_demand.h"
 #include "cassiaferry/uneven_workers.h"
 #include "cassiaferry/uplink.h"
@@ -97,8 +98,6 @@
 
 // ---- [3] Tables -------------------------------------------------------------
 
-using leased_seq = strong_id<struct leased_seq_tag, uint64_t>;
-
 enum class leased_task_state : uint8_t { blocked, waiting, placed, done };
 
 struct leased_task_row {
@@ -125,6 +124,7 @@
   std::vector<uint32_t> step_tasks_left;  // unfinished tasks of each step
   std::vector<leased_task_row> tasks;
   std::vector<uint32_t> waiting;   // indices into `tasks`
+  std::set<worker_id> failed_on;   // workers on which a run of it has failed
   std::vector<ticket_id> tickets;  // callers waiting for the answer
   micros arrival{0};
   micros deadline{0};       // callers wait until then; 0: no bound
@@ -197,8 +197,8 @@
   std::vector<std::pair<micros, std::vector<run_ref>>> orphaned;
   // Work done relative to the expected, as last reported.
   double pace = 1;
-  double failure_share = 0;  // decayed share of failed runs
-  micros avoid_until{0};     // after it refused a run, other workers are used
+  run_outcomes outcomes;
+  micros avoid_until{0};  // after it refused a run, other workers are used
   // An unhealthy worker gets an occasional run as a probe for its recovery.
   micros probe_after{0};
   // Pause before the next probe after a bad one; 0: healthy.
@@ -314,6 +314,8 @@
   micros request_waits_logged_at{0};
   micros last_tick{0};
   micros last_follow{0};  // when the workers to follow were last chosen
+  // When it was last decided which workers count as failing.
+  micros failing_reviewed_at{0};
   micros recovery_until{0};
   durable_state durable;
   leased_counters counters;
--- a/src/core/leased_choice.cc
+++ b/src/core/leased_choice.cc
@@ -64,7 +64,8 @@
   const double age =
       std::min(1.0, static_cast<double>((now - w.report_received_at).value) /
                         kStaleReportAge.value);
-  const double health_cost = pace_cost + w.failure_share * kFailingWeight;
+  const double health_cost =
+      pace_cost + w.outcomes.failure_share * kFailingWeight;
   // A recovery shows only if the worker gets a run.
   const bool probe_due =
       w.probe_pause.value != 0 && w.open_runs.empty() && now >= w.probe_after;
@@ -109,6 +110,17 @@
   return request;
 }
 
+// Keeps only workers on which no run of the job has failed, if any fit.
+// Failure guarded against: a worker that fails all has free capacity, gets a
+// failed task again and again, and its job fails without a fault of its own.
+void KeepUntried(const leased_job& job, std::vector<worker_id>& fitting) {
+  const auto has_failed = [&](worker_id id) {
+    return job.failed_on.count(id) != 0;
+  };
+  if (!std::all_of(fitting.begin(), fitting.end(), has_failed))
+    std::erase_if(fitting, has_failed);
+}
+
 // Keeps only workers with the step's preferred label, if any fit. A task takes
 // longer away from its data, but may still be done sooner there than after a
 // wait, so other workers are used when the preferred ones are full.
@@ -244,6 +256,7 @@
     if (MayPlaceOneMore(s, worker_id{i}, job, step))
       fitting.push_back(worker_id{i});
   }
+  KeepUntried(job, fitting);
   KeepPreferred(s, needs, fitting);
   const pace_request pace = PaceRequest(s, now, job, step);
   std::optional<worker_id> best;
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -22,7 +22,6 @@
 
 // A late answer is of some use within this many times the on-time bound.
 constexpr int64_t kUselessFactor = 3;
-constexpr double kFailureShareDecay = 0.8;
 // A worker that refused a start gets no other one for this long.
 constexpr micros kAvoidAfterRefusal = Millis(5);
 // Added to a task's run number when a run is superseded, to skip all run
@@ -493,16 +492,12 @@
 
 void UpdateEstimates(entry_state& s,
                      micros now,
-                     leased_worker& w,
+                     worker_id id,
                      const leased_job& job,
                      const leased_task_row& row,
                      const run_end& end) {
   const int64_t declared = job.steps[row.task.step].expected_ms;
-  w.failure_share =
-      w.failure_share * kFailureShareDecay +
-      (end.kind == run_end_kind::failed ? 1 - kFailureShareDecay : 0);
-  if (end.kind == run_end_kind::failed || IsUnhealthy(s, w))
-    RecordBadProbe(w, now);
+  RecordHealth(s, now, id, job, end.kind);
   if (end.kind != run_end_kind::done || declared <= 0)
     return;
   const estimate_method method = s.leased.options.adapts_to_uneven_workers
@@ -687,7 +682,9 @@
   --job->placed;
   AddCpuInUse(s.leased, *job, *row, -1);
   UpdateMayHaveRun(*job, end.kind);
-  UpdateEstimates(s, now, w, *job, *row, end);
+  if (end.kind == run_end_kind::failed)
+    job->failed_on.insert(id);
+  UpdateEstimates(s, now, id, *job, *row, end);
   if (end.kind == run_end_kind::never_started)
     w.avoid_until = now + kAvoidAfterRefusal;
   LogRunEnd(s, now, id, *job, end);
--- a/src/core/leased_systems.h
+++ b/src/core/leased_systems.h
@@ -121,12 +121,17 @@
 constexpr double kSpareShare = 0.3;
 
 lease_orders& OrdersFor(entry_state& s, worker_id id);
-// Whether the worker is slow compared with others, or most of its newest runs
-// failed.
+// Whether the worker is slow compared with others, or counts as one that fails
+// its runs.
 bool IsUnhealthy(const entry_state& s, const leased_worker& w);
-// Records that a run on the worker failed or was moved off it. If the worker is
-// unhealthy, its next run is delayed.
-void RecordBadProbe(leased_worker& w, micros now);
+// Records what the end of a job's run says about the worker's health.
+void RecordHealth(entry_state& s,
+                  micros now,
+                  worker_id id,
+                  const leased_job& job,
+                  run_end_kind how);
+// Decides anew, now and then, which workers count as failing.
+void ReviewFailingWorkers(entry_state& s, micros now);
 leased_worker& WorkerOf(entry_state& s, worker_id id);
 resources AvailableResources(const leased_worker& w);
 bool HasLabel(const leased_worker& w, std::string_view label);
--- a/src/core/leased_tick.cc
+++ b/src/core/leased_tick.cc
@@ -334,6 +334,7 @@
   LogUnevenWorkers(s, now);
   LogJobsWithoutWorker(s, now);
   EndLostRuns(s, now);
+  ReviewFailingWorkers(s, now);
   RecordCapacityGrowth(s, now);
   MeasureArrivals(s.leased, now);
   CheckLeasedDeadlines(s, now);
--- a/src/core/leased_workers.cc
+++ b/src/core/leased_workers.cc
@@ -3,10 +3,11 @@
 //
 // Contents
 //   [1] Resources and pace
-//   [2] Lost runs
-//   [3] Streams
-//   [4] Stragglers
-//   [5] Frames
+//   [2] Failing workers
+//   [3] Lost runs
+//   [4] Streams
+//   [5] Stragglers
+//   [6] Frames
 
 #include <algorithm>
 
@@ -27,10 +28,9 @@
 // affected until then.
 constexpr micros kMinProbePause = Millis(100);
 constexpr micros kMaxProbePause = Millis(800);
-// A worker that failed more than this share of its newest runs gets one run at
-// a time. Failure guarded against: a worker that fails every run at once always
-// has free resources, and would get and fail every task.
-constexpr double kFailingShare = 0.5;
+// A worker that counts as failing gets one run at a time. Failure guarded
+// against: a worker that fails every run at once always has free resources, and
+// would get and fail every task.
 constexpr size_t kFailingProbes = 1;
 // Times that one task is moved off slow workers.
 constexpr uint32_t kMaxMoves = 2;
@@ -123,7 +123,7 @@
 }  // namespace
 
 bool IsUnhealthy(const entry_state& s, const leased_worker& w) {
-  return w.failure_share > kFailingShare || IsSlow(s, w, kSlowShare);
+  return w.outcomes.is_failing || IsSlow(s, w, kSlowShare);
 }
 
 namespace {
@@ -134,7 +134,7 @@
     return SIZE_MAX;
   if (s.leased.last_tick < w.probe_after)
     return 0;
-  return w.failure_share > kFailingShare ? kFailingProbes : kSlowProbes;
+  return w.outcomes.is_failing ? kFailingProbes : kSlowProbes;
 }
 
 bool LeavesSpareCapacity(const leased_worker& w, const resources& need) {
@@ -147,16 +147,6 @@
 
 }  // namespace
 
-// Failure guarded against: under overload all other workers are full, and each
-// waiting task in turn goes to the one where runs stall or fail. With one of
-// eleven workers stalled and 0.9 of the load, the pause serves 0.97 instead of
-// 0.95 of the value (cassiaferry-emulate, sixteen seeds).
-void RecordBadProbe(leased_worker& w, micros now) {
-  w.probe_pause = std::clamp(micros{w.probe_pause.value * 2}, kMinProbePause,
-                             kMaxProbePause);
-  w.probe_after = now + w.probe_pause;
-}
-
 bool MayPlaceOn(const entry_state& s,
                 worker_id id,
                 const leased_job& job,
@@ -175,6 +165,79 @@
   return s.leased.workers[id.value];
 }
 
+// ---- [2] Failing workers ----------------------------------------------------
+
+namespace {
+
+// Failure guarded against: under overload all other workers are full, and each
+// waiting task in turn goes to the one where runs stall or fail. With one of
+// eleven workers stalled and 0.9 of the load, the pause serves 0.97 instead of
+// 0.95 of the value (cassiaferry-emulate, sixteen seeds).
+void RecordBadProbe(leased_worker& w, micros now) {
+  w.probe_pause = std::clamp(micros{w.probe_pause.value * 2}, kMinProbePause,
+                             kMaxProbePause);
+  w.probe_after = now + w.probe_pause;
+}
+
+// Whether the bound on failing workers of an upstream leaves room for one more.
+bool MayCountOneMore(const entry_state& s, const std::string& upstream) {
+  size_t failing = 0;
+  size_t workers = 0;
+  for (const leased_worker& w : s.leased.workers) {
+    if (!w.takes_work || w.info.upstream != upstream)
+      continue;
+    ++workers;
+    failing += w.outcomes.is_failing ? 1 : 0;
+  }
+  return MayCountAsFailing(failing, workers);
+}
+
+// Failure guarded against: jobs that can never be done fail on sound workers,
+// and these get one run at a time, whatever room they have.
+void JudgeFailing(entry_state& s, worker_id id) {
+  leased_worker& w = s.leased.workers[id.value];
+  const bool was_failing = w.outcomes.is_failing;
+  const bool looks_failing = LooksFailing(w.outcomes);
+  if (was_failing == looks_failing ||
+      (looks_failing && !MayCountOneMore(s, w.info.upstream)))
+    return;
+  w.outcomes.is_failing = looks_failing;
+  s.actions.push_back(leased_decision{
+      looks_failing ? "worker counts as failing" : "worker counts as sound", "",
+      "worker " + s.workers[id.value].name + ", share of jobs that failed " +
+          std::to_string(w.outcomes.failure_share) + ", of newest jobs " +
+          std::to_string(w.outcomes.by_job.size())});
+}
+
+}  // namespace
+
+void RecordHealth(entry_state& s,
+                  micros now,
+                  worker_id id,
+                  const leased_job& job,
+                  run_end_kind how) {
+  leased_worker& w = s.leased.workers[id.value];
+  const bool failed = how == run_end_kind::failed;
+  bool tells_more = true;
+  if (failed || how == run_end_kind::done) {
+    tells_more = RecordOutcome(w.outcomes, now, job.seq, failed);
+    JudgeFailing(s, id);
+  }
+  if (tells_more && IsUnhealthy(s, w))
+    RecordBadProbe(w, now);
+}
+
+void ReviewFailingWorkers(entry_state& s, micros now) {
+  constexpr micros kEvery = Millis(100);
+  if (now - s.leased.failing_reviewed_at < kEvery)
+    return;
+  s.leased.failing_reviewed_at = now;
+  for (uint32_t i = 0; i < s.leased.workers.size(); ++i) {
+    ForgetOldOutcomes(s.leased.workers[i].outcomes, now);
+    JudgeFailing(s, worker_id{i});
+  }
+}
+
 namespace {
 
 // The sidecar may forget ends up to this number.
@@ -190,7 +253,7 @@
   }
 }
 
-// ---- [2] Lost runs ----------------------------------------------------------
+// ---- [3] Lost runs ----------------------------------------------------------
 
 void HandleConfirmedResolutions(leased_worker& w, uint64_t seen) {
   while (!w.open_resolutions.empty() &&
@@ -244,7 +307,7 @@
   }
 }
 
-// ---- [3] Streams ------------------------------------------------------------
+// ---- [4] Streams ------------------------------------------------------------
 
 namespace {
 
@@ -326,7 +389,7 @@
   w.takes_work = false;
 }
 
-// ---- [4] Stragglers ---------------------------------------------------------
+// ---- [5] Stragglers ---------------------------------------------------------
 
 namespace {
 
@@ -416,7 +479,7 @@
 
 }  // namespace
 
-// ---- [5] Frames -------------------------------------------------------------
+// ---- [6] Frames -------------------------------------------------------------
 
 void HandleReports(entry_state& s,
                    micros now,
@@ -435,7 +498,7 @@
     w.probe_pause = {};
   if (reports.worker) {
     if (w.info.session != reports.worker->session) {
-      w.failure_share = 0;
+      w.outcomes = {};
       w.max_capacity = {};
     }
     w.info = *reports.worker;
