Records of other writers: an odd one costs itself alone

What operators saw elsewhere: one odd entry in a shared list, nested deeply, with a number too large or an impossible port, and the machines that read it ended again and again, or stopped following it.

Cause here: each reader used the JSON library as it is.

Change: json_fields.h bounds the depth (32) and the numbers; all rows, reports, answers of workers and greetings of peers go through it. One bad row costs that row, a bad report gets 400, a bad answer counts as none.

Not run with real processes yet.

--- a/include/cassiaferry/json_fields.h
+++ b/include/cassiaferry/json_fields.h
@@ -1,17 +1,53 @@
-// Access to members of JSON objects written by another process.
+// Access to JSON records written by another process.
 //
 // Failure guarded against: another writer's record has a member of an
-// unexpected type, the library throws, and the process ends. A member that is
-// missing or of another type is treated as absent.
+// unexpected type or a number out of range, or is nested so deeply that copying
+// it exhausts the stack, and each process that reads it ends or goes on with a
+// number that nobody wrote. A member that is missing, of another type or out of
+// range is treated as absent; a record that is nested too deeply is not read.
 
 #ifndef CASSIAFERRY_JSON_FIELDS_H_
 #define CASSIAFERRY_JSON_FIELDS_H_
 
+#include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 namespace cassiaferry {
 
+// Levels of objects and lists in a record.
+constexpr size_t kMaxRecordDepth = 32;
+// Largest whole number that a record may hold where nothing else bounds it:
+// sums of some thousand of them fit into 64 bits.
+constexpr int64_t kMaxRecordNumber = int64_t{1} << 50;
+
+inline bool IsNestedTooDeeply(const std::string& text) {
+  size_t depth = 0;
+  bool in_string = false;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string && c == '\\')
+      ++i;
+    else if (c == '"')
+      in_string = !in_string;
+    else if (!in_string && (c == '{' || c == '[') && ++depth > kMaxRecordDepth)
+      return true;
+    else if (!in_string && (c == '}' || c == ']') && depth > 0)
+      --depth;
+  }
+  return false;
+}
+
+// Returns null if the text is not JSON or is nested too deeply.
+inline nlohmann::json ParseRecord(const std::string& text) {
+  if (IsNestedTooDeeply(text))
+    return nullptr;
+  nlohmann::json j = nlohmann::json::parse(text, nullptr, false);
+  return j.is_discarded() ? nlohmann::json() : j;
+}
+
 inline const nlohmann::json* FindField(const nlohmann::json& j,
                                        const char* name) {
   if (!j.is_object())
@@ -26,12 +62,21 @@
                                                 : std::string();
 }
 
-// Reads a non-negative integer.
+// Reads a non-negative integer that the type can hold.
+template <typename Number>
+std::optional<Number> ReadWholeNumber(const nlohmann::json& j) {
+  if (!j.is_number_unsigned() ||
+      j.get<uint64_t>() >
+          static_cast<uint64_t>(std::numeric_limits<Number>::max()))
+    return std::nullopt;
+  return j.get<Number>();
+}
+
 template <typename Number>
 Number NumberField(const nlohmann::json& j, const char* name, Number fallback) {
   const nlohmann::json* field = FindField(j, name);
-  return field != nullptr && field->is_number_unsigned() ? field->get<Number>()
-                                                         : fallback;
+  return field != nullptr ? ReadWholeNumber<Number>(*field).value_or(fallback)
+                          : fallback;
 }
 
 inline bool FlagField(const nlohmann::json& j, const char* name) {
--- a/src/apps/entry_closings.cc
+++ b/src/apps/entry_closings.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "app.h"
+#include "cassiaferry/json_fields.h"
 #include "entry_app.h"
 #include "event_log.h"
 
@@ -40,7 +41,7 @@
 std::optional<closed_domains> ReadRow(const std::optional<table_row>& row) {
   if (!row)
     return closed_domains();
-  const json value = json::parse(row->value, nullptr, false);
+  const json value = ParseRecord(row->value);
   if (!value.is_object() || !value.contains("closed"))
     return std::nullopt;
   return closed_domains{closed_domains_version{row->version},
@@ -83,7 +84,7 @@
     ReplyJson(r.ticket, 200, ToJson(closings_));
     return true;
   }
-  const json body = json::parse(r.body, nullptr, false);
+  const json body = ParseRecord(r.body);
   if (!body.is_object() || !body.contains("closed") ||
       !body["closed"].is_boolean()) {
     Refuse(r.ticket, {verdict::not_run, reason::bad_request,
@@ -175,9 +176,11 @@
 void entry_app::TakePeerClosings(const json& told) {
   if (!told.is_object())
     return;
-  const closed_domains_version version{told.value("version", uint64_t{0})};
+  const closed_domains_version version{
+      NumberField(told, "version", uint64_t{0})};
+  const json* domains = FindField(told, "domains");
   loop_.Post(closed_domains_received{
-      {version, ReadNames(told.value("domains", json()))}});
+      {version, domains != nullptr ? ReadNames(*domains) : ReadNames({})}});
 }
 
 }  // namespace cassiaferry
--- a/src/apps/entry_http.cc
+++ b/src/apps/entry_http.cc
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "app.h"
+#include "cassiaferry/json_fields.h"
 #include "entry_app.h"
 #include "event_log.h"
 
@@ -297,12 +298,12 @@
     });
     return true;
   }
-  const json greeting = json::parse(r.body, nullptr, false);
+  const json greeting = ParseRecord(r.body);
   if (!greeting.is_object()) {
     Refuse(r.ticket, NotRun(reason::bad_request, "not a greeting"));
     return true;
   }
-  const config_version known{greeting.value("version", uint64_t{0})};
+  const config_version known{NumberField(greeting, "version", uint64_t{0})};
   TakePeerAnswer("", http_reply{true, true, 200, false, r.body, ""});
   ReplyJson(r.ticket, 200, Greeting(known));
   return true;
--- a/src/apps/entry_platform.cc
+++ b/src/apps/entry_platform.cc
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include "app.h"
+#include "cassiaferry/json_fields.h"
 #include "entry_app.h"
 
 namespace cassiaferry {
@@ -39,7 +40,7 @@
 }
 
 json ParseRow(const table_row& row) {
-  json j = json::parse(row.value, nullptr, false);
+  json j = ParseRecord(row.value);
   return j.is_object() ? j : json::object();
 }
 
@@ -123,9 +124,9 @@
                                const config_document& document,
                                const std::optional<table_row>& row) {
   const json current = row ? ParseRow(*row) : json::object();
-  const uint64_t version = current.value("version", uint64_t{0});
+  const uint64_t version = NumberField(current, "version", uint64_t{0});
   if (version + 1 != document.version.value) {
-    ConfigConflict(ticket, version, current.value("author", ""));
+    ConfigConflict(ticket, version, TextField(current, "author"));
     return;
   }
   table_op op;
@@ -172,11 +173,11 @@
       return;
     }
     const json current = rows[0] ? ParseRow(*rows[0]) : json::object();
-    const uint64_t version = current.value("version", uint64_t{0});
-    if (current.value("change_id", "") == document.change_id)
+    const uint64_t version = NumberField(current, "version", uint64_t{0});
+    if (TextField(current, "change_id") == document.change_id)
       AcceptConfig(ticket, document);
     else if (version >= document.version.value)
-      ConfigConflict(ticket, version, current.value("author", ""));
+      ConfigConflict(ticket, version, TextField(current, "author"));
     else
       Refuse(ticket, ConfigUnavailable(
                          verdict::may_have_run,
@@ -220,13 +221,13 @@
 }
 
 void entry_app::FetchConfig(const std::string& row_value) {
-  const json row = json::parse(row_value, nullptr, false);
+  const json row = ParseRecord(row_value);
   if (!row.is_object())
     return;
   config_document document;
-  document.version = config_version{row.value("version", uint64_t{0})};
-  document.change_id = row.value("change_id", "");
-  document.author = row.value("author", "");
+  document.version = config_version{NumberField(row, "version", uint64_t{0})};
+  document.change_id = TextField(row, "change_id");
+  document.author = TextField(row, "author");
   platform_.GetObject(ObjectName(document.change_id),
                       [this, document](bool ok, std::string body) mutable {
                         json parsed;
@@ -296,26 +297,32 @@
 
 void entry_app::TakePeerAnswer(const std::string& http_address,
                                const http_reply& reply) {
-  const json greeting = json::parse(reply.body, nullptr, false);
+  const json greeting = ParseRecord(reply.body);
   if (!reply.answered || reply.status != 200 || !greeting.is_object())
     return;
-  const std::string address = greeting.value("http", http_address);
-  LearnPeer(address, greeting.value("link", ""));
+  const std::string told = TextField(greeting, "http");
+  const std::string address = told.empty() ? http_address : told;
+  LearnPeer(address, TextField(greeting, "link"));
   {
     const std::lock_guard lock(mutex_);
     const auto peer = peers_.find(address);
     if (peer != peers_.end())
       peer->second.last_heard = Now();
   }
-  for (const json& other : greeting.value("peers", json::array()))
-    LearnPeer(other.value("http", ""), other.value("link", ""));
-  TakePeerClosings(greeting.value("closings", json()));
-  if (!greeting.contains("document"))
+  const json* peers = FindField(greeting, "peers");
+  if (peers != nullptr && peers->is_array()) {
+    for (const json& other : *peers)
+      LearnPeer(TextField(other, "http"), TextField(other, "link"));
+  }
+  if (const json* closings = FindField(greeting, "closings"))
+    TakePeerClosings(*closings);
+  const json* d = FindField(greeting, "document");
+  if (d == nullptr)
     return;
-  const json& d = greeting["document"];
   const config_document document{
-      config_version{d.value("version", uint64_t{0})}, d.value("change_id", ""),
-      d.value("author", ""), d.value("json", "")};
+      config_version{NumberField(*d, "version", uint64_t{0})},
+      TextField(*d, "change_id"), TextField(*d, "author"),
+      TextField(*d, "json")};
   json parsed;
   std::string error;
   if (ParseJson(document.json, parsed, error) &&
--- a/src/core/claims.cc
+++ b/src/core/claims.cc
@@ -10,6 +10,7 @@
 //   [7] Forming transactions
 
 #include "cassiaferry/claims.h"
+#include "cassiaferry/json_fields.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -33,7 +34,7 @@
 
 std::optional<claim_row> ReadClaim(const std::string& value) {
   try {
-    const json j = json::parse(value);
+    const json j = ParseRecord(value);
     claim_row row;
     row.nonce = j.at("nonce");
     row.digest = j.at("digest");
--- a/src/core/directory.cc
+++ b/src/core/directory.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <string_view>
 
 #include "cassiaferry/json_fields.h"
 
@@ -11,16 +12,31 @@
 
 namespace {
 
-// Returns true for an IPv4 address and a port.
-bool IsAddress(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos || colon == 0 ||
-      text.find_first_not_of("0123456789.") != colon)
+// Reads a number and the character behind it, which is dropped from the text
+// with the number.
+template <typename Number>
+bool TakeNumber(std::string_view& text, char behind, Number& value) {
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  const auto length = static_cast<size_t>(parsed.ptr - text.data());
+  if (parsed.ec != std::errc() || length >= text.size() ||
+      text[length] != behind)
     return false;
+  text.remove_prefix(length + 1);
+  return true;
+}
+
+// Returns true for an IPv4 address and a port.
+bool IsAddress(const std::string& address) {
+  const std::string ended = address + '\n';
+  std::string_view text = ended;
+  uint8_t part = 0;
+  for (int i = 0; i < 4; ++i) {
+    if (!TakeNumber(text, i < 3 ? '.' : ':', part))
+      return false;
+  }
   uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  return parsed.ec == std::errc() && parsed.ptr == end && port != 0;
+  return TakeNumber(text, '\n', port) && port != 0 && text.empty();
 }
 
 }  // namespace
@@ -34,7 +50,7 @@
 }
 
 std::optional<directory_row> ReadDirectoryRow(const std::string& text) {
-  const nlohmann::json j = nlohmann::json::parse(text, nullptr, false);
+  const nlohmann::json j = ParseRecord(text);
   directory_row row;
   row.link = TextField(j, "link");
   if (!IsAddress(row.link))
--- a/src/core/durable_rows.cc
+++ b/src/core/durable_rows.cc
@@ -11,6 +11,7 @@
 #include "cassiaferry/json_fields.h"
 
 #include <algorithm>
+#include <stdexcept>
 #include <utility>
 
 #include "leased_systems.h"
@@ -23,13 +24,14 @@
 
 // Of a job; jobs with more are not accepted.
 constexpr uint64_t kMaxTasks = 100'000;
+constexpr double kMaxStretch = 1e6;
 
 std::string Dump(const json& j) {
   return j.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 json Parse(const std::string& text) {
-  json j = json::parse(text, nullptr, false);
+  json j = ParseRecord(text);
   return j.is_object() ? j : json::object();
 }
 
@@ -69,15 +71,39 @@
   return j;
 }
 
-leased_step ReadStep(const json& j) {
+// Throws if the member is missing or out of range.
+template <typename Number>
+Number ReadBounded(const json& j, const char* name) {
+  const auto number = ReadWholeNumber<Number>(j.at(name));
+  if (!number ||
+      static_cast<uint64_t>(*number) > static_cast<uint64_t>(kMaxRecordNumber))
+    throw std::out_of_range(name);
+  return *number;
+}
+
+template <typename Number>
+Number ReadBounded(const json& j, const char* name, Number fallback) {
+  return j.contains(name) ? ReadBounded<Number>(j, name) : fallback;
+}
+
+// Throws if a member is missing, of another type or out of range, or if the
+// step comes after one that is not before it.
+leased_step ReadStep(const json& j, size_t steps_before) {
   leased_step step;
-  step.count = j.at("count");
-  step.need = {j.at("cpu"), j.at("memory_mb"), j.value("gpus", int64_t{0})};
-  step.expected_ms = j.at("expected_ms");
-  step.after = j.value("after", std::vector<uint32_t>());
+  step.count = ReadBounded<uint32_t>(j, "count");
+  step.need = {ReadBounded<int64_t>(j, "cpu"),
+               ReadBounded<int64_t>(j, "memory_mb"),
+               ReadBounded(j, "gpus", int64_t{0})};
+  step.expected_ms = ReadBounded<int64_t>(j, "expected_ms");
+  for (const json& before : j.value("after", json::array())) {
+    const auto index = ReadWholeNumber<uint32_t>(before);
+    if (!index || *index >= steps_before)
+      throw std::out_of_range("after");
+    step.after.push_back(*index);
+  }
   step.label = j.value("label", "");
   step.preferred_label = j.value("near", "");
-  step.max_per_worker = j.value("most_per_worker", 0u);
+  step.max_per_worker = ReadBounded(j, "most_per_worker", 0u);
   return step;
 }
 
@@ -91,10 +117,12 @@
   queue_config q;
   q.name = j.at("name");
   q.upstream = j.at("upstream");
-  q.priority = j.at("priority");
-  q.max_attempts = j.at("max_attempts");
+  q.priority = ReadBounded<decltype(q.priority)>(j, "priority");
+  q.max_attempts = ReadBounded<decltype(q.max_attempts)>(j, "max_attempts");
   q.stretch = j.at("stretch");
-  q.allowance_ms = j.at("allowance_ms");
+  if (!(q.stretch >= 0 && q.stretch <= kMaxStretch))
+    throw std::out_of_range("stretch");
+  q.allowance_ms = ReadBounded<decltype(q.allowance_ms)>(j, "allowance_ms");
   return q;
 }
 
@@ -129,21 +157,21 @@
 std::optional<leased_job> ReadJobRow(const std::string& id,
                                      const std::string& job_row) {
   try {
-    const json j = json::parse(job_row);
+    const json j = ParseRecord(job_row);
     leased_job job;
     job.id = id;
-    job.durable.epoch = j.at("epoch");
+    job.durable.epoch = ReadBounded<uint32_t>(j, "epoch");
     job.queue = ReadQueue(j.at("queue"));
     job.payload = j.at("payload");
     uint64_t tasks = 0;
     for (const json& step : j.at("steps")) {
-      job.steps.push_back(ReadStep(step));
+      job.steps.push_back(ReadStep(step, job.steps.size()));
       tasks += job.steps.back().count;
     }
     if (tasks == 0 || tasks > kMaxTasks)
       return std::nullopt;
     return job;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {  // from the JSON library or this file
     return std::nullopt;
   }
 }
@@ -184,13 +212,13 @@
 }
 
 size_t ReadIndex(const json& j) {
-  return j.is_number_unsigned() ? j.get<size_t>() : SIZE_MAX;
+  return ReadWholeNumber<size_t>(j).value_or(SIZE_MAX);
 }
 
 // Returns true for a pair of a task's index and a number.
 bool IsIndexedPair(const json& j, size_t tasks) {
   return j.is_array() && j.size() == 2 && ReadIndex(j[0]) < tasks &&
-         j[1].is_number_unsigned();
+         ReadWholeNumber<uint32_t>(j[1]);
 }
 
 // Reads which failed runs were counted: [[task index, [run, ...]], ...].
@@ -203,9 +231,9 @@
       continue;
     leased_task_row& row = job.tasks[ReadIndex(pair[0])];
     for (const json& run : pair[1]) {
-      if (run.is_number_unsigned() &&
-          !IsCountedFailure(row, run.get<uint32_t>()))
-        row.failed_runs.push_back(run.get<uint32_t>());
+      const auto number = ReadWholeNumber<uint32_t>(run);
+      if (number && !IsCountedFailure(row, *number))
+        row.failed_runs.push_back(*number);
     }
   }
 }
@@ -307,8 +335,9 @@
   if (waiting == nullptr || !waiting->is_object())
     return peer;
   for (const auto& [queue, count] : waiting->items()) {
-    if (count.is_number_unsigned())
-      peer.waiting[queue] = count.get<size_t>();
+    const auto number = ReadWholeNumber<uint32_t>(count);
+    if (number)
+      peer.waiting[queue] = *number;
   }
   return peer;
 }
--- a/src/core/worker_record.cc
+++ b/src/core/worker_record.cc
@@ -46,8 +46,11 @@
 }
 
 std::optional<leased_worker_info> ReadWorkerRow(const std::string& row) {
-  const nlohmann::json j = nlohmann::json::parse(row, nullptr, false);
+  const nlohmann::json j = ParseRecord(row);
   constexpr int64_t kMissing = -1;
+  const auto is_amount = [](int64_t amount) {
+    return amount >= 0 && amount <= kMaxRecordNumber;
+  };
   leased_worker_info worker;
   worker.session.id = TextField(j, "session");
   worker.session.started_ms = NumberField(j, "started_ms", kMissing);
@@ -57,8 +60,10 @@
   worker.capacity.gpus = NumberField(j, "gpus", kMissing);
   const bool is_valid =
       !worker.session.id.empty() && worker.session.started_ms > 0 &&
+      worker.session.started_ms <= kMaxRecordNumber &&
       !worker.upstream.empty() && worker.capacity.cpu > 0 &&
-      worker.capacity.memory_mb >= 0 && worker.capacity.gpus >= 0;
+      is_amount(worker.capacity.cpu) && is_amount(worker.capacity.memory_mb) &&
+      is_amount(worker.capacity.gpus);
   if (!is_valid || !ReadLabels(j, worker.labels))
     return std::nullopt;
   return worker;
