--- a/tests/failing_workers_unit_test.cc
+++ b/tests/failing_workers_unit_test.cc
@@ -89,7 +89,7 @@
     emulated_job job = MakeJob("job-" + std::to_string(next++), tasks, cpu, ms);
     job.hopeless = hopeless;
     job.durable = true;
-    const std::string id = job.id;
+    std::string id = job.id;
     w.SubmitTo(entry, std::move(job));
     return id;
   }
