--- a/src/core/lease_manager.cc
+++ b/src/core/lease_manager.cc
@@ -161,8 +161,8 @@
 }  // namespace
 
 bool LeaseLasts(const lease_manager_state& m, micros now, int64_t run_ms) {
-  return MayExtendLease(m, now) ||
-         WorkerClock(m, now) + run_ms < m.granted_lease_ms;
+  return WorkerClock(m, now) + run_ms < m.granted_lease_ms ||
+         MayExtendLease(m, now);
 }
 
 void CallStart(lease_manager_state& m, micros now, managed_run& run) {
--- a/src/core/leased_choice.cc
+++ b/src/core/leased_choice.cc
@@ -110,15 +110,19 @@
   return request;
 }
 
+// Drops the workers that a condition holds for, unless it holds for all.
+template <typename Condition>
+void DropUnlessAll(std::vector<worker_id>& fitting, const Condition& drops) {
+  if (!std::all_of(fitting.begin(), fitting.end(), drops))
+    std::erase_if(fitting, drops);
+}
+
 // Keeps only workers on which no run of the job has failed, if any fit.
 // Failure guarded against: a worker that fails all has free capacity, gets a
 // failed task again and again, and its job fails without a fault of its own.
 void KeepUntried(const leased_job& job, std::vector<worker_id>& fitting) {
-  const auto has_failed = [&](worker_id id) {
-    return job.failed_on.count(id) != 0;
-  };
-  if (!std::all_of(fitting.begin(), fitting.end(), has_failed))
-    std::erase_if(fitting, has_failed);
+  DropUnlessAll(fitting,
+                [&](worker_id id) { return job.failed_on.count(id) != 0; });
 }
 
 // Keeps only workers with the step's preferred label, if any fit. A task takes
@@ -127,11 +131,9 @@
 void KeepPreferred(const entry_state& s,
                    const leased_step& step,
                    std::vector<worker_id>& fitting) {
-  const auto is_far = [&](worker_id id) {
+  DropUnlessAll(fitting, [&](worker_id id) {
     return !HasLabel(s.leased.workers[id.value], step.preferred_label);
-  };
-  if (!std::all_of(fitting.begin(), fitting.end(), is_far))
-    std::erase_if(fitting, is_far);
+  });
 }
 
 // ---- [2] Workers that may take a task ---------------------------------------
