--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -41,20 +41,20 @@
     if (&e != &d.entries[0])
       others.push_back(&e);
   }
-  std::thread replaced;
   if (Trouble()) {
     Record("trouble: edge-1 is lost for good");
     d.entries[0].running->End(SIGKILL);
-    replaced = std::thread([&d] {
-      Sleep(kReplacedAfter);
-      d.AddEntry();
-      d.StartEntry(d.entries.back());
-      Record("edge-9 starts in its place");
-    });
   }
-  const int code = CheckWaiting(d, others, ids, Now() - accepted, kAsked);
-  if (replaced.joinable())
-    replaced.join();
+  int code = kHeld;
+  std::thread asks(
+      [&] { code = CheckWaiting(d, others, ids, Now() - accepted, kAsked); });
+  Sleep(kReplacedAfter);
+  if (Trouble()) {
+    d.AddEntry();
+    d.StartEntry(d.entries.back());
+    Record("edge-9 starts in its place");
+  }
+  asks.join();
   return code;
 }
 
