Store transactions: a log line for each that failed; metrics of calls cut off

Entries and sidecars count their calls and those whose kept connection closed before any byte of an answer (cassiaferry_http_calls_total, cassiaferry_http_calls_cut_total).

No change of behaviour.

--- a/include/cassiaferry/rows.h
+++ b/include/cassiaferry/rows.h
@@ -78,7 +78,8 @@
   // Of the whole store as of this answer; after a transaction, of the rows that
   // it set.
   uint64_t version = 0;
-  bool more = false;  // the table continues after the last row
+  bool more = false;   // the table continues after the last row
+  std::string detail;  // why there are no rows, for logs
 };
 
 }  // namespace cassiaferry
--- a/src/apps/entry_http.cc
+++ b/src/apps/entry_http.cc
@@ -199,6 +199,8 @@
       response.body = PrometheusText(state_.metrics, state_.policies);
       response.body += ClosedDomainsPrometheusText(state_.closed_domains);
       response.body += IntakePrometheusText("http", http_->Intake());
+      response.body +=
+          HttpClientPrometheusText("entry", http_client_.Counters());
       if (HasLeasedJobs())
         response.body += LeasedPrometheusText(state_.leased) +
                          SheddingPrometheusText(shedding_) +
--- a/src/apps/sidecar_main.cc
+++ b/src/apps/sidecar_main.cc
@@ -307,6 +307,8 @@
     if (state_.options.manages_leases)
       text += LeaseManagerPrometheusText(state_.lease_manager, Now());
     text += WorkerRecordPrometheusText(state_);
+    text += HttpClientPrometheusText("sidecar", http_.Counters());
+    text += HttpClientPrometheusText("worker", worker_http_.Counters());
     text += LogMetricsText();
     Reply(ticket, 200, text, "text/plain; version=0.0.4");
   });
--- a/src/core/durable_jobs.cc
+++ b/src/core/durable_jobs.cc
@@ -377,11 +377,28 @@
     Depose(s);
 }
 
+void LogFailedWrite(entry_state& s, const store_answered& e) {
+  const bool refused = e.reply.status == store_status::refused;
+  if (!refused && e.reply.status != store_status::no_answer)
+    return;
+  const std::optional<open_transaction>& open = s.leased.durable.journal.open;
+  if (!open || open->call != e.call / 2)
+    return;
+  const bool may_be_done = !refused || open->may_be_done;
+  s.actions.push_back(leased_decision{
+      refused ? "store transaction refused" : "store transaction not answered",
+      "",
+      "transaction " + std::to_string(open->call) + ", operations " +
+          std::to_string(open->ops.size()) +
+          (may_be_done ? ", may be done, " : ", not done, ") + e.reply.detail});
+}
+
 }  // namespace
 
 void HandleStoreAnswer(entry_state& s, micros now, const store_answered& e) {
   durable_state& d = s.leased.durable;
   if (e.call % 2 == 0) {
+    LogFailedWrite(s, e);
     HandleJournalReply(d.journal, now, e.call / 2, e.reply);
     HandleWrites(s, now);
     return;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -13,6 +13,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "cassiaferry/metrics.h"
+
 namespace cassiaferry {
 
 namespace {
@@ -34,7 +36,6 @@
   bool delimited = false;  // the answer says where it ends
   bool too_long = false;
   size_t* open_bytes = nullptr;  // of all answers of its client
-  int copies = 0;  // of the request, begun so far; counted if send_once
 };
 
 // Failure guarded against: a server whose answer doesn't end, or many of them,
@@ -71,8 +72,9 @@
 // Called before each copy of the request goes out.
 int CountCopy(void* context, char*, char*, int, int) {
   auto* t = static_cast<transfer*>(context);
-  ++t->copies;
-  return t->copies == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  ++t->reply.copies;
+  return t->reply.copies > 1 && t->call.send_once ? CURL_PREREQFUNC_ABORT
+                                                  : CURL_PREREQFUNC_OK;
 }
 
 void Configure(transfer& t) {
@@ -104,10 +106,8 @@
     curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
   }
-  if (t.call.send_once) {
-    curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, CountCopy);
-    curl_easy_setopt(h, CURLOPT_PREREQDATA, &t);
-  }
+  curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, CountCopy);
+  curl_easy_setopt(h, CURLOPT_PREREQDATA, &t);
 }
 
 // Nothing was sent if the transfer never came past connecting.
@@ -126,7 +126,7 @@
   // it looks whole, with an empty body. Only an answer that says where it ends
   // counts.
   t.reply.answered = code == CURLE_OK && t.delimited;
-  t.reply.sent = code == CURLE_OK || t.copies > 0 || WasSent(t.handle);
+  t.reply.sent = code == CURLE_OK || t.reply.copies > 0 || WasSent(t.handle);
   if (t.too_long)
     t.reply.error = "the answer is too long";
   else if (code != CURLE_OK)
@@ -150,6 +150,7 @@
   std::thread thread;
   std::atomic<bool> stopped{false};
   std::atomic<uint64_t> next_id{1};
+  std::atomic<uint64_t> cut_calls{0};
   std::mutex mutex;
   std::vector<std::unique_ptr<transfer>> starting;
   std::vector<uint64_t> cancelling;
@@ -189,6 +190,7 @@
 
 void http_client::impl::End(transfer& t, CURLcode code) {
   ReadOutcome(t, code);
+  cut_calls += t.reply.copies > 1 ? 1 : 0;
   const auto it = open.find(t.id);
   const std::unique_ptr<transfer> owned = std::move(it->second);
   open.erase(it);
@@ -272,6 +274,10 @@
   curl_multi_wakeup(impl_->multi);
 }
 
+http_client_counters http_client::Counters() const {
+  return {impl_->next_id - 1, impl_->cut_calls};
+}
+
 void http_client::Stop() {
   if (impl_->stopped.exchange(true))
     return;
@@ -285,6 +291,17 @@
   curl_multi_cleanup(impl_->multi);
 }
 
+std::string HttpClientPrometheusText(const std::string& client,
+                                     const http_client_counters& c) {
+  const std::string label = "client=\"" + client + "\"";
+  std::string out;
+  AppendMetric(out, "cassiaferry_http_calls_total", label,
+               static_cast<double>(c.calls));
+  AppendMetric(out, "cassiaferry_http_calls_cut_total", label,
+               static_cast<double>(c.cut_calls));
+  return out;
+}
+
 http_reply FetchOnce(http_call call) {
   std::promise<http_reply> promise;
   http_client client;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -37,6 +37,13 @@
   bool not_run = false;  // the answer carries "Cassiaferry-Not-Run: 1"
   std::string body;
   std::string error;  // why not answered
+  int copies = 0;     // of the request, begun
+};
+
+struct http_client_counters {
+  uint64_t calls = 0;
+  // Calls whose kept connection closed before any byte of an answer.
+  uint64_t cut_calls = 0;
 };
 
 class http_client {
@@ -54,13 +61,18 @@
   uint64_t Start(http_call call,
                  reply_callback on_reply);  // any thread; the id is for Cancel
   void Cancel(uint64_t id);  // any thread; closes the connection, no reply
-  void Stop();               // ends the thread
+  http_client_counters Counters() const;  // any thread
+  void Stop();                            // ends the thread
 
  private:
   struct impl;
   std::unique_ptr<impl> impl_;
 };
 
+// The counters of the client named `client` as Prometheus text.
+std::string HttpClientPrometheusText(const std::string& client,
+                                     const http_client_counters& c);
+
 // One call, waited for. For command line tools and tests; `Fetch` takes answers
 // of any length.
 http_reply FetchOnce(http_call call);
