HTTP client: only a GET may go out twice; a write that was done isn't refused

The caller gets 503, "nothing was stored"; the job is in the store, is taken over some seconds later, and runs.

Cause: libcurl sends a request again by itself, on a new connection, when a kept one closes before any byte of the answer.

Change: the rule is in the client, not at each call: only a GET may be sent again; any other call ends without an answer (RFC 9110, 9.2.2). send_once is gone. Weighed against a connection for each such call: that costs a connection each, and a guard at each call is a list that the next caller forgets. A new connection (fresh_connection) stays where it was.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -35,6 +35,7 @@
   curl_slist* headers = nullptr;
   bool delimited = false;  // the answer says where it ends
   bool too_long = false;
+  bool cut = false;              // its kept connection closed before any answer
   size_t* open_bytes = nullptr;  // of all answers of its client
 };
 
@@ -69,12 +70,16 @@
   return line.size();
 }
 
-// Called before each copy of the request goes out.
-int CountCopy(void* context, char*, char*, int, int) {
+// Called before each copy of the request goes out. Failure guarded against: the
+// first copy was carried out, and a refusal of the second passes for its
+// answer.
+int AdmitCopy(void* context, char*, char*, int, int) {
   auto* t = static_cast<transfer*>(context);
+  t->cut = t->reply.copies > 0;
+  if (t->cut && t->call.method != "GET")
+    return CURL_PREREQFUNC_ABORT;
   ++t->reply.copies;
-  return t->reply.copies > 1 && t->call.send_once ? CURL_PREREQFUNC_ABORT
-                                                  : CURL_PREREQFUNC_OK;
+  return CURL_PREREQFUNC_OK;
 }
 
 void Configure(transfer& t) {
@@ -106,7 +111,7 @@
     curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
   }
-  curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, CountCopy);
+  curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, AdmitCopy);
   curl_easy_setopt(h, CURLOPT_PREREQDATA, &t);
 }
 
@@ -129,6 +134,8 @@
   t.reply.sent = code == CURLE_OK || t.reply.copies > 0 || WasSent(t.handle);
   if (t.too_long)
     t.reply.error = "the answer is too long";
+  else if (code == CURLE_ABORTED_BY_CALLBACK)
+    t.reply.error = "the kept connection closed before an answer";
   else if (code != CURLE_OK)
     t.reply.error = curl_easy_strerror(code);
   else if (!t.delimited)
@@ -190,7 +197,7 @@
 
 void http_client::impl::End(transfer& t, CURLcode code) {
   ReadOutcome(t, code);
-  cut_calls += t.reply.copies > 1 ? 1 : 0;
+  cut_calls += t.cut ? 1 : 0;
   const auto it = open.find(t.id);
   const std::unique_ptr<transfer> owned = std::move(it->second);
   open.erase(it);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,6 +11,9 @@
 
 namespace cassiaferry {
 
+// Only a GET may go out twice: when a kept connection closes before any byte of
+// an answer, libcurl sends the request again on a new one. Any other call ends
+// there without an answer, as it may have been carried out (RFC 9110, 9.2.2).
 struct http_call {
   std::string method = "GET";
   std::string url;                   // "http://ip:port/path"
@@ -21,13 +24,9 @@
   // The call ends without an answer if the answer's body is longer; 0: no
   // bound.
   size_t max_reply_bytes = size_t{4} << 20;
-  // A request that must not be sent twice gets a connection of its own. Failure
-  // guarded against: when a kept connection closes before any answer, libcurl
-  // sends the request again on a new one, and a POST would run twice.
+  // A connection of its own, for a call whose outcome must not become unknown
+  // because a server closes idle connections.
   bool fresh_connection = false;
-  // The same over a kept connection: where libcurl would send the request again
-  // the call ends without an answer instead.
-  bool send_once = false;
 };
 
 struct http_reply {
@@ -37,7 +36,7 @@
   bool not_run = false;  // the answer carries "Cassiaferry-Not-Run: 1"
   std::string body;
   std::string error;  // why not answered
-  int copies = 0;     // of the request, begun
+  int copies = 0;     // of the request, sent
 };
 
 struct http_client_counters {
--- a/src/net/platform_client.cc
+++ b/src/net/platform_client.cc
@@ -89,7 +89,7 @@
   call.url = Url("/table/transaction");
   call.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
   call.timeout_ms = kCallTimeoutMs;
-  call.fresh_connection = true;  // a write must not be sent twice unseen
+  call.fresh_connection = true;
   http_.Start(std::move(call),
               [done = std::move(done)](const http_reply& reply) {
                 Deliver<std::vector<table_result>>(reply, ReadResults, done);
--- a/tests/breaking_server.h
+++ b/tests/breaking_server.h
@@ -6,6 +6,7 @@
 #include <asio.hpp>
 #include <atomic>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 
@@ -46,11 +47,20 @@
     }
   }
 
-  // Requests have bodies of JSON objects, without lists.
   bool TakeRequest(asio::ip::tcp::socket& socket) {
+    constexpr std::string_view kLength = "Content-Length: ";
     std::string data;
     asio::error_code failed;
-    asio::read_until(socket, asio::dynamic_buffer(data), "}", failed);
+    const size_t head = asio::read_until(socket, asio::dynamic_buffer(data),
+                                         "\r\n\r\n", failed);
+    const size_t length = data.find(kLength);
+    const size_t whole =
+        head + (length == std::string::npos
+                    ? 0
+                    : std::stoul(data.substr(length + kLength.size())));
+    if (!failed && data.size() < whole)
+      asio::read(socket, asio::dynamic_buffer(data),
+                 asio::transfer_exactly(whole - data.size()), failed);
     requests_ += failed ? 0 : 1;
     return !failed;
   }
--- a/tests/http_client_unit_test.cc
+++ b/tests/http_client_unit_test.cc
@@ -15,13 +15,13 @@
 namespace {
 
 struct client_of_a_breaking_server {
-  http_reply Post() {
+  http_reply Post() { return Call("POST"); }
+  http_reply Call(const std::string& method) {
     http_call call;
-    call.method = "POST";
+    call.method = method;
     call.url = "http://" + server.Address() + "/";
     call.body = "{}";
     call.timeout_ms = 2000;
-    call.send_once = true;
     std::promise<http_reply> promise;
     client.Start(std::move(call), [&](http_reply reply) {
       promise.set_value(std::move(reply));
@@ -36,18 +36,38 @@
 // Guards against a refusal of a second copy that passes for the only one's,
 // while the first copy was carried out.
 TEST_CASE_METHOD(client_of_a_breaking_server,
-                 "post_once_kept_connection_closes_no_second_copy") {
+                 "post_kept_connection_closes_no_second_copy") {
   REQUIRE(Post().status == 200);
   const http_reply reply = Post();
   CHECK(server.Requests() == 2);
   CHECK_FALSE(reply.answered);
   CHECK(reply.sent);
+  CHECK(reply.copies == 1);
+  CHECK(client.Counters().cut_calls == 1);
+}
+
+// Guards against a put or delete that is carried out, and refused by its copy.
+TEST_CASE_METHOD(client_of_a_breaking_server,
+                 "put_or_delete_kept_connection_closes_no_second_copy") {
+  const std::string method = GENERATE("PUT", "DELETE");
+  REQUIRE(Post().status == 200);
+  CHECK_FALSE(Call(method).answered);
+  CHECK(server.Requests() == 2);
+}
+
+// Guards against reads that fail whenever a server closes idle connections.
+TEST_CASE_METHOD(client_of_a_breaking_server,
+                 "get_kept_connection_closes_is_sent_again") {
+  REQUIRE(Post().status == 200);
+  const http_reply reply = Call("GET");
+  CHECK(server.Requests() == 3);
+  CHECK(reply.answered);
+  CHECK(reply.copies == 2);
 }
 
 // Guards against a new connection for each call, which costs the worker more
 // than the call.
-TEST_CASE_METHOD(client_of_a_breaking_server,
-                 "post_once_connections_are_kept") {
+TEST_CASE_METHOD(client_of_a_breaking_server, "post_connections_are_kept") {
   for (int i = 0; i < 2; ++i)
     Post();
   CHECK(Post().status == 503);
