--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -309,6 +309,15 @@
   return out;
 }
 
+bool IsRefusal(const http_reply& reply) {
+  constexpr int kFirstClientError = 400;
+  constexpr int kFirstServerError = 500;
+  constexpr int kUnavailable = 503;
+  return reply.answered &&
+         (reply.status == kUnavailable || (reply.status >= kFirstClientError &&
+                                           reply.status < kFirstServerError));
+}
+
 http_reply FetchOnce(http_call call) {
   std::promise<http_reply> promise;
   http_client client;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -39,6 +39,10 @@
   int copies = 0;     // of the request, sent
 };
 
+// True if the answer says that nothing was done: 503, or an error of the
+// request. Any other error of the server leaves that unknown.
+bool IsRefusal(const http_reply& reply);
+
 struct http_client_counters {
   uint64_t calls = 0;
   // Calls whose kept connection closed before any byte of an answer.
