Takeover: an owner that this entry can't take over keeps its count of jobs

Cause, as claimed: an entry whose claim of the owner's row is refused took the owner out of its table of peers, with the count of its jobs, until the next read of the owners' table. Nothing had been learnt about the jobs: another entry was first, or the owner is alive after all (a pause beyond dead_after). Evidence: in the case's logs each "owner not taken over, its row has changed" is followed by that entry's low answers; the entry whose claim was done has none.

They say what the row is now: it is recorded as if it had been read, so the count stays and the owner isn't claimed again at the next tick. If the row is gone its jobs count until a read of the table that began later. The same for the last write of a takeover, where another entry has claimed the owner meanwhile. A page that is older than what a write has shown is passed over. Removed rows don't count as writers nor as living owners.

--- a/include/cassiaferry/durable_jobs.h
+++ b/include/cassiaferry/durable_jobs.h
@@ -130,8 +130,15 @@
   // When this version was first seen; the store has answered since.
   micros unchanged_since{0};
   std::map<std::string, size_t> waiting;  // waiting jobs, by queue
+  // When its row was found removed. Its jobs count until a poll that began
+  // later has read the row of the entry that has them now. 0: the row exists.
+  micros removed_at{0};
 };
 
+inline bool HasRow(const peer_owner& peer) {
+  return peer.removed_at.value == 0;
+}
+
 enum class adoption_stage : uint8_t {
   claiming,      // the previous owner's row is being changed
   jobs,          // job rows are being read and taken over
@@ -270,6 +277,7 @@
   bool poll_failed = false;
   std::set<std::string> seen_in_poll;  // keys seen, over all pages of the poll
   micros next_poll{0};
+  micros poll_began{0};                     // of the newest
   std::map<std::string, peer_owner> peers;  // by row key
   std::optional<adoption> current_adoption;
   std::map<std::string, ended_job> ended;
--- a/include/cassiaferry/journal.h
+++ b/include/cassiaferry/journal.h
@@ -65,8 +65,9 @@
 
 struct journal_result {
   journal_op_id id;
-  bool done = false;     // false: a condition did not hold
-  uint64_t version = 0;  // of the rows that were set, if done
+  bool done = false;             // false: a condition did not hold
+  uint64_t version = 0;          // of the rows that were set, if done
+  std::vector<stored_row> rows;  // those of its conditions, if not done
 };
 
 // ---- [3] State --------------------------------------------------------------
--- a/src/core/durable_adoption.cc
+++ b/src/core/durable_adoption.cc
@@ -35,9 +35,15 @@
 
 // The time without a change of a row that is new or has changed starts now.
 // While the store does not answer no owner can renew, so earlier observations
-// don't count.
+// don't count. A page may be older than what a write has shown.
 void RecordPeer(durable_state& d, micros now, peer_owner peer) {
   const auto known = d.peers.find(peer.key);
+  const bool outdated =
+      known != d.peers.end() && (known->second.version > peer.version ||
+                                 (known->second.version == peer.version &&
+                                  known->second.removed_at >= d.poll_began));
+  if (outdated)
+    return;
   const bool unchanged =
       known != d.peers.end() && known->second.version == peer.version;
   peer.unchanged_since =
@@ -51,7 +57,7 @@
 bool IsGone(const entry_state& s, micros now, const peer_owner& peer) {
   const durable_state& d = s.leased.durable;
   if (peer.owner_incarnation == d.owner_incarnation ||
-      peer.key == d.journal.own_row.key)
+      peer.key == d.journal.own_row.key || !HasRow(peer))
     return false;
   return peer.released || peer.name == s.options.name ||
          now - peer.unchanged_since >= d.options.dead_after;
@@ -176,10 +182,26 @@
   a.read_all = false;
 }
 
-void EndAdoption(entry_state& s) {
+// Failure guarded against: jobs that nobody counts, since an entry that could
+// not take them over takes their owner for one without jobs. A write that was
+// not done shows the owner's row as it is now, or that it is gone.
+void EndAdoption(entry_state& s, micros now, const journal_result& last_write) {
   durable_state& d = s.leased.durable;
-  d.peers.erase(d.current_adoption->previous_owner.key);
+  const std::string key = d.current_adoption->previous_owner.key;
   d.current_adoption.reset();
+  if (last_write.done) {
+    d.peers.erase(key);
+    return;
+  }
+  for (const stored_row& row : last_write.rows) {
+    if (std::optional<peer_owner> peer = ReadOwnerRow(row))
+      RecordPeer(d, now, std::move(*peer));
+  }
+  const auto peer = d.peers.find(key);
+  if (last_write.rows.empty() && peer != d.peers.end()) {
+    peer->second.removed_at = now;
+    d.next_poll = now;
+  }
 }
 
 }  // namespace
@@ -208,11 +230,14 @@
     return;
   }
   std::erase_if(d.peers, [&](const auto& row) {
-    return d.seen_in_poll.count(row.first) == 0;
+    return d.seen_in_poll.count(row.first) == 0 &&
+           row.second.removed_at < d.poll_began;
   });
-  d.journal.writers = d.peers.count(d.journal.own_row.key) == 0
-                          ? d.peers.size() + 1
-                          : d.peers.size();
+  const auto others =
+      std::count_if(d.peers.begin(), d.peers.end(), [&](const auto& row) {
+        return HasRow(row.second) && row.first != d.journal.own_row.key;
+      });
+  d.journal.writers = static_cast<size_t>(others) + 1;
   const bool any_owner = !d.seen_in_poll.empty();
   d.seen_in_poll.clear();
   d.poll_failed = false;
@@ -262,7 +287,7 @@
     case write_purpose::claim_owner:
       if (!result.done) {  // it is alive, or another entry was first
         LogAdoption(s, "owner not taken over, its row has changed", a);
-        EndAdoption(s);
+        EndAdoption(s, now, result);
         return;
       }
       a.previous_owner.version = result.version;
@@ -275,8 +300,12 @@
       return;
     }
     default:
-      LogAdoption(s, "owner's jobs have been taken over", a);
-      EndAdoption(s);
+      LogAdoption(s,
+                  result.done
+                      ? "owner's jobs have been taken over"
+                      : "owner's jobs taken over, its row has changed since",
+                  a);
+      EndAdoption(s, now, result);
       d.next_poll = now;
       return;
   }
@@ -290,6 +319,7 @@
     return;
   if (!d.polling && now >= d.next_poll) {
     d.polling = true;
+    d.poll_began = now;
     ReadRows(s, {kOwnersTable, "", 0, false},
              {read_purpose::poll_owners, "", {}, false});
   }
--- a/src/core/durable_callers.cc
+++ b/src/core/durable_callers.cc
@@ -233,8 +233,9 @@
     return;
   }
   const std::string owner = row == nullptr ? "" : OwnerOf(row->value);
-  const bool owner_is_alive =
-      owner != d.owner_incarnation && d.peers.count(kEntryPrefix + owner) != 0;
+  const auto peer = d.peers.find(kEntryPrefix + owner);
+  const bool owner_is_alive = owner != d.owner_incarnation &&
+                              peer != d.peers.end() && HasRow(peer->second);
   if (row == nullptr)
     foreign->second.ends_disposition = end_disposition::forget;
   else if (!owner_is_alive)
--- a/src/core/journal.cc
+++ b/src/core/journal.cc
@@ -122,6 +122,17 @@
                      [&](const row_condition& c) { return Holds(c, rows); });
 }
 
+// The rows that the conditions name, as they are now.
+std::vector<stored_row> RowsOfConditions(const row_transaction& t,
+                                         const std::vector<stored_row>& rows) {
+  std::vector<stored_row> named;
+  for (const row_condition& condition : t.expected) {
+    if (const stored_row* row = FindRow(rows, condition.row))
+      named.push_back(*row);
+  }
+  return named;
+}
+
 void HandleCommitted(journal_state& j, uint64_t version) {
   const open_transaction t = std::move(*j.open);
   j.open.reset();
@@ -129,7 +140,7 @@
   j.own_version = removed ? 0 : version;
   j.leased_until = removed ? micros{0} : t.first_sent + j.options.lease;
   for (const journal_op& op : t.ops)
-    j.results.push_back({op.id, true, version});
+    j.results.push_back({op.id, true, version, {}});
 }
 
 void Requeue(journal_state& j, std::vector<journal_op>& ops) {
@@ -169,7 +180,7 @@
       retried.push_back(std::move(op));
       continue;
     }
-    j.results.push_back({op.id, false, 0});
+    j.results.push_back({op.id, false, 0, RowsOfConditions(op.rows, rows)});
   }
   j.open.reset();
   Requeue(j, retried);
