Owners' table: jobs that move between two pages of a read still count

If a takeover ends between two pages, the new owner's row (page one) is read without the jobs and the old owner's (page two) is gone: nobody counts them until the next read.

Change: after a read of several pages, a row that it missed counts until the next read.

--- a/include/cassiaferry/durable_jobs.h
+++ b/include/cassiaferry/durable_jobs.h
@@ -277,7 +277,8 @@
   bool poll_failed = false;
   std::set<std::string> seen_in_poll;  // keys seen, over all pages of the poll
   micros next_poll{0};
-  micros poll_began{0};                     // of the newest
+  micros poll_began{0};  // of the newest
+  bool poll_has_pages = false;
   std::map<std::string, peer_owner> peers;  // by row key
   std::optional<adoption> current_adoption;
   std::map<std::string, ended_job> ended;
--- a/src/core/durable_adoption.cc
+++ b/src/core/durable_adoption.cc
@@ -51,6 +51,19 @@
   d.peers[peer.key] = std::move(peer);
 }
 
+// After a whole poll. Failure guarded against: jobs that nobody counts, as they
+// move, between two pages, from a row on the later page to one on the first.
+void ForgetRemovedPeers(durable_state& d, micros now) {
+  for (auto& [key, peer] : d.peers) {
+    if (d.poll_has_pages && HasRow(peer) && d.seen_in_poll.count(key) == 0)
+      peer.removed_at = now;
+  }
+  std::erase_if(d.peers, [&](const auto& row) {
+    return d.seen_in_poll.count(row.first) == 0 &&
+           row.second.removed_at < d.poll_began;
+  });
+}
+
 // Returns true if the process that wrote the row is gone: it has released its
 // jobs, this process has replaced it on its machine, or it has not renewed its
 // row for `dead_after`.
@@ -225,14 +238,12 @@
   }
   if (reply.more && !reply.rows.empty()) {
     d.polling = true;
+    d.poll_has_pages = true;
     ReadRows(s, {kOwnersTable, reply.rows.back().key, 0, true},
              {read_purpose::poll_owners, "", {}, false});
     return;
   }
-  std::erase_if(d.peers, [&](const auto& row) {
-    return d.seen_in_poll.count(row.first) == 0 &&
-           row.second.removed_at < d.poll_began;
-  });
+  ForgetRemovedPeers(d, now);
   const auto others =
       std::count_if(d.peers.begin(), d.peers.end(), [&](const auto& row) {
         return HasRow(row.second) && row.first != d.journal.own_row.key;
@@ -320,6 +331,7 @@
   if (!d.polling && now >= d.next_poll) {
     d.polling = true;
     d.poll_began = now;
+    d.poll_has_pages = false;
     ReadRows(s, {kOwnersTable, "", 0, false},
              {read_purpose::poll_owners, "", {}, false});
   }
--- a/tests/waiting_counts_unit_test.cc
+++ b/tests/waiting_counts_unit_test.cc
@@ -5,6 +5,7 @@
 //   [1] Fixture
 //   [2] Lost owners
 //   [3] Owners that come back
+//   [4] Tables of several pages
 
 #include <catch2/catch.hpp>
 #include <set>
@@ -149,5 +150,50 @@
   }
 }
 
+// ---- [4] Tables of several pages --------------------------------------------
+
+// The call in which the entry reads the owners' table.
+uint64_t PollOf(const entry_state& entry) {
+  for (const auto& [call, read] : entry.leased.durable.reads) {
+    if (read.purpose == read_purpose::poll_owners)
+      return call;
+  }
+  return 0;
+}
+
+rows_reply OwnersPage(const emulated_store& store, bool more) {
+  rows_reply page;
+  page.status = store_status::ok;
+  page.more = more;
+  for (const auto& [key, row] : store.rows) {
+    if (key.table == "owners")
+      page.rows.push_back({key.table, key.key, row.value, row.version, false});
+  }
+  return page;
+}
+
+// Guards against jobs that move, between two pages of a read, from an owner's
+// row on the later page to one on the page before.
+TEST_CASE("owner_moves_between_pages_of_a_read_its_jobs_count") {
+  entries_of_waiting_jobs e(1);
+  emulated_entry& reader = e.w.entries[1];
+  e.w.StoreFault(Millis(2000), "silent",
+                 [](emulated_store& store) { store.silent = true; });
+  while (PollOf(*reader.core) == 0)
+    e.w.Pass(kInterval);
+  rows_reply first = OwnersPage(e.w.store, true);
+  first.rows.erase(first.rows.begin());  // the owner's, on the next page
+  rows_reply second;
+  second.status = store_status::ok;
+  for (const rows_reply& page : {first, second}) {
+    reader.inbox.emplace_back(store_answered{PollOf(*reader.core), page});
+    e.w.Pass(Millis(100));
+  }
+  REQUIRE(PollOf(*reader.core) == 0);
+  CHECK(2 * LeasedJobsWaiting(reader.core->leased, kQueue) >= e.Known());
+  e.w.Pass(Millis(4000));
+  CHECK(2 * LeasedJobsWaiting(reader.core->leased, kQueue) >= e.Known());
+}
+
 }  // namespace
 }  // namespace cassiaferry::emulator
