Deposed owner: its jobs count until it has read whose they are

Until its next read of the owners' table, up to a second later, it gave 5 of 43 waiting jobs.

Change: the jobs that it drops count until a read that began later, which it begins at once.

--- a/include/cassiaferry/durable_jobs.h
+++ b/include/cassiaferry/durable_jobs.h
@@ -130,8 +130,9 @@
   // When this version was first seen; the store has answered since.
   micros unchanged_since{0};
   std::map<std::string, size_t> waiting;  // waiting jobs, by queue
-  // When its row was found removed. Its jobs count until a poll that began
-  // later has read the row of the entry that has them now. 0: the row exists.
+  // When its row was found removed, or changed by another entry. Its jobs count
+  // until a poll that began later has read the row of the entry that has them
+  // now. 0: the row is as it was read.
   micros removed_at{0};
 };
 
--- a/src/core/durable_jobs.cc
+++ b/src/core/durable_jobs.cc
@@ -374,7 +374,7 @@
   for (const journal_result& result : results)
     HandleWrite(s, now, result);
   if (d.journal.deposed)
-    Depose(s);
+    Depose(s, now);
 }
 
 void LogFailedWrite(entry_state& s, const store_answered& e) {
--- a/src/core/durable_ownership.cc
+++ b/src/core/durable_ownership.cc
@@ -73,9 +73,15 @@
 
 // Failure guarded against: this entry was cut off from the store, or was
 // stalled, for so long that another entry took its jobs over. Its writes fail
-// from then on. It drops the jobs and continues as a new owner.
-void Depose(entry_state& s) {
+// from then on. It drops the jobs and continues as a new owner. They count here
+// until it has read whose they are now.
+void Depose(entry_state& s, micros now) {
   durable_state& d = s.leased.durable;
+  peer_owner lost;
+  lost.key = d.journal.own_row.key;
+  lost.owner_incarnation = d.owner_incarnation;
+  lost.waiting = WaitingByQueue(s.leased);
+  lost.removed_at = now;
   ++d.counters.deposed;
   s.actions.push_back(leased_decision{
       "jobs taken over by another entry", "",
@@ -88,6 +94,8 @@
   d.writes.clear();
   d.current_adoption.reset();
   BeginIncarnation(s);
+  d.peers[lost.key] = std::move(lost);
+  d.next_poll = now;
 }
 
 // Failure guarded against: this entry can't reach the store, and another entry
--- a/src/core/durable_rows.cc
+++ b/src/core/durable_rows.cc
@@ -296,18 +296,22 @@
 
 // ---- [4] Owners -------------------------------------------------------------
 
-std::string OwnRowFields(const entry_state& s) {
-  json waiting = json::object();
+std::map<std::string, size_t> WaitingByQueue(const leased_state& l) {
+  std::map<std::string, size_t> waiting;
   const auto count = [&](leased_seq seq) {
-    const leased_job& job = s.leased.jobs.at(seq);
+    const leased_job& job = l.jobs.at(seq);
     if (!job.started && job.durable.stage == durable_stage::stored)
-      waiting[job.queue.name] = waiting.value(job.queue.name, 0) + 1;
+      ++waiting[job.queue.name];
   };
-  std::for_each(s.leased.waiting.begin(), s.leased.waiting.end(), count);
-  std::for_each(s.leased.overdue.begin(), s.leased.overdue.end(), count);
+  std::for_each(l.waiting.begin(), l.waiting.end(), count);
+  std::for_each(l.overdue.begin(), l.overdue.end(), count);
+  return waiting;
+}
+
+std::string OwnRowFields(const entry_state& s) {
   json j = {{"name", s.options.name},
             {"life", s.leased.durable.owner_incarnation},
-            {"waiting", std::move(waiting)}};
+            {"waiting", WaitingByQueue(s.leased)}};
   if (s.leased.durable.left_jobs)
     j["released"] = true;
   const std::string text = Dump(j);
--- a/src/core/durable_rows.h
+++ b/src/core/durable_rows.h
@@ -3,6 +3,7 @@
 #ifndef CASSIAFERRY_SRC_CORE_DURABLE_ROWS_H_
 #define CASSIAFERRY_SRC_CORE_DURABLE_ROWS_H_
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -40,6 +41,8 @@
 std::string SweeperOf(const std::string& ended_row);
 std::optional<ended_job> ReadEndedRow(const std::string& ended_row);
 
+// Stored jobs that this entry owns and of which no task has started.
+std::map<std::string, size_t> WaitingByQueue(const leased_state& l);
 // JSON members of the own row besides the heartbeat.
 std::string OwnRowFields(const entry_state& s);
 // The row of a dead owner while its jobs are being taken over; the jobs still
--- a/src/core/durable_systems.h
+++ b/src/core/durable_systems.h
@@ -82,7 +82,7 @@
 
 // ---- [4] Ownership (durable_ownership.cc) -----------------------------------
 
-void Depose(entry_state& s);
+void Depose(entry_state& s, micros now);
 void CheckOwnership(entry_state& s, micros now);
 void ReleaseJobs(entry_state& s, micros now);
 void MaintainOwnRow(entry_state& s, micros now);
--- a/tests/waiting_counts_unit_test.cc
+++ b/tests/waiting_counts_unit_test.cc
@@ -150,6 +150,16 @@
   }
 }
 
+// Guards against an owner that has lost its jobs and counts them no more,
+// before it has read who has them.
+TEST_CASE("owner_cut_from_store_every_entry_counts_its_jobs") {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    entries_of_waiting_jobs e(seed);
+    e.w.CutFromStore(0, Millis(9000));
+    e.RequireCounted(kTakeover, {});
+  }
+}
+
 // ---- [4] Tables of several pages --------------------------------------------
 
 // The call in which the entry reads the owners' table.
