Stopping owner: the jobs that it leaves count until they are taken over

Change: the row, and the stopping entry's own answer, keep the count that the jobs had when they were left.

--- a/include/cassiaferry/durable_jobs.h
+++ b/include/cassiaferry/durable_jobs.h
@@ -297,6 +297,7 @@
   bool had_own_row = false;  // in this incarnation
   bool released = false;     // this entry is stopping, and adopts no more jobs
   bool left_jobs = false;    // it has left jobs to other entries
+  std::map<std::string, size_t> left_waiting;  // of them, by queue
   durable_counters counters;
 };
 
--- a/src/core/durable_ownership.cc
+++ b/src/core/durable_ownership.cc
@@ -122,7 +122,7 @@
 }
 
 // A stopping entry leaves its unfinished jobs to other entries, early enough
-// for that to be written.
+// for that to be written. Its row keeps their count until they are taken over.
 void ReleaseJobs(entry_state& s, micros now) {
   durable_state& d = s.leased.durable;
   const leased_options& o = s.leased.options;
@@ -134,6 +134,7 @@
     return;  // the own row is removed
   s.actions.push_back(leased_decision{"jobs left to other entries", "",
                                       "jobs " + std::to_string(d.jobs)});
+  d.left_waiting = WaitingByQueue(s.leased);
   LeaveJobs(s);
   d.current_adoption.reset();  // adopted jobs are left as well
   d.left_jobs = true;
--- a/src/core/durable_rows.cc
+++ b/src/core/durable_rows.cc
@@ -309,10 +309,12 @@
 }
 
 std::string OwnRowFields(const entry_state& s) {
-  json j = {{"name", s.options.name},
-            {"life", s.leased.durable.owner_incarnation},
-            {"waiting", WaitingByQueue(s.leased)}};
-  if (s.leased.durable.left_jobs)
+  const durable_state& d = s.leased.durable;
+  json j = {
+      {"name", s.options.name},
+      {"life", d.owner_incarnation},
+      {"waiting", d.left_jobs ? d.left_waiting : WaitingByQueue(s.leased)}};
+  if (d.left_jobs)
     j["released"] = true;
   const std::string text = Dump(j);
   return text.substr(1, text.size() - 2);
--- a/src/core/leased_jobs.cc
+++ b/src/core/leased_jobs.cc
@@ -787,10 +787,14 @@
   auto waiting = static_cast<size_t>(
       std::count_if(s.waiting.begin(), s.waiting.end(), counts) +
       std::count_if(s.overdue.begin(), s.overdue.end(), counts));
+  const auto add = [&](const std::map<std::string, size_t>& by_queue) {
+    const auto count = by_queue.find(queue);
+    waiting += count == by_queue.end() ? 0 : count->second;
+  };
+  add(s.durable.left_waiting);
   for (const auto& [key, peer] : s.durable.peers) {
-    const auto count = peer.waiting.find(queue);
-    if (key != s.durable.journal.own_row.key && count != peer.waiting.end())
-      waiting += count->second;
+    if (key != s.durable.journal.own_row.key)
+      add(peer.waiting);
   }
   return waiting;
 }
--- a/tests/waiting_counts_unit_test.cc
+++ b/tests/waiting_counts_unit_test.cc
@@ -5,7 +5,8 @@
 //   [1] Fixture
 //   [2] Lost owners
 //   [3] Owners that come back
-//   [4] Tables of several pages
+//   [4] Stops
+//   [5] Tables of several pages
 
 #include <catch2/catch.hpp>
 #include <set>
@@ -160,7 +161,19 @@
   }
 }
 
-// ---- [4] Tables of several pages --------------------------------------------
+// ---- [4] Stops --------------------------------------------------------------
+
+// Guards against jobs that are counted by nobody from the moment in which a
+// stopping owner leaves them to others.
+TEST_CASE("owner_stopped_every_entry_counts_its_jobs") {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    entries_of_waiting_jobs e(seed);
+    e.w.StopEntry(0);
+    e.RequireCounted(kTakeover, {0});
+  }
+}
+
+// ---- [5] Tables of several pages --------------------------------------------
 
 // The call in which the entry reads the owners' table.
 uint64_t PollOf(const entry_state& entry) {
