--- a/model/check.sh
+++ b/model/check.sh
@@ -54,7 +54,7 @@
 expect holds leases END_NEVER_COMES DEADLINE=4 LEAVES_AT=4 READ_WITHIN=2
 expect violated leases END_NEVER_COMES DEADLINE=4 LEAVES_AT=4 READ_WITHIN=3
 expect holds journal
-for m in NO_CHAIN CONFIRM_EARLY SCAN_FIRST ACK_EARLY NO_ABANDON NO_EXPIRY ACK_UNKNOWN; do expect violated journal $m; done
+for m in NO_CHAIN CONFIRM_EARLY HEARS_LAST SCAN_FIRST ACK_EARLY NO_ABANDON NO_EXPIRY ACK_UNKNOWN; do expect violated journal $m; done
 expect holds attempts
 for m in BY_ARRIVAL SET_NOT_STORED ACK_UNSTORED LATE_NOT_EXPIRED; do expect violated attempts $m; done
 expect holds closed_domains
--- a/model/journal.pml
+++ b/model/journal.pml
@@ -6,7 +6,8 @@
  * reads the job and what is stored about it. The worker lists an end until it is
  * acknowledged; after that the worker forgets it.
  *
- * Properties: a job that was confirmed to its caller has an owner; a task does not
+ * Properties: a job that was confirmed to its caller has an owner; one that was
+ * refused to its caller as not stored is never stored; a task does not
  * start after an end "done" that is acknowledged, then or later, unless the
  * worker's lease expired in between.
  *
@@ -15,6 +16,7 @@
  *
  *   NO_CHAIN       a write does not expect the row's version
  *   CONFIRM_EARLY  the job is confirmed to the caller before it is stored
+ *   HEARS_LAST     a refusal of one copy counts as the answer to both
  *   SCAN_FIRST     F reads the job before it has changed the row
  *   ACK_EARLY      an end is acknowledged before it is stored
  *   NO_ABANDON     that a run was abandoned is not stored before the next starts
@@ -48,6 +50,8 @@
 bool e_deposed = false, e_confirmed = false, e_accepted = false;
 byte e_op = 0, e_op_run = 0, e_version = 1;
 bool e_waits = false, e_done = false;
+bool e_refused = false;   /* the caller was told that the job is not stored */
+byte e_copies = 0;        /* of the write, sent and not refused; 2: two or more */
 byte e_run = 0;
 
 /* F */
@@ -83,7 +87,29 @@
   acknowledge(n)
 }
 
+inline send(n) {
+  copy[n] = true; copy_kind[n] = e_op; copy_version[n] = e_version; copy_run[n] = e_op_run;
+  if
+  :: e_copies < 2 -> e_copies++
+  :: else
+  fi
+}
+
+/* the store is down: nothing of a copy of the first write is done, and E reads that */
+inline refuse() {
+  if
+#ifdef HEARS_LAST
+  :: true ->
+#else
+  :: e_copies == 1 ->
+#endif
+     e_copies = 0; e_op = 0; e_refused = true; assert(!job)
+  :: e_copies != 1
+  fi
+}
+
 inline finish_op() {
+  e_copies = 0;
   e_version = row_version;
   if
   :: e_op == ACCEPT -> e_accepted = true; e_confirmed = true; e_waits = true
@@ -97,16 +123,14 @@
 active proctype owner() {
 end_owner:
   do
-  :: atomic { !e_deposed && e_op == 0 && !e_accepted ->
+  :: atomic { !e_deposed && e_op == 0 && !e_accepted && !e_refused ->
 #ifdef CONFIRM_EARLY
        e_confirmed = true;
 #endif
        e_op = ACCEPT }
   /* a copy is sent for the first time or again */
-  :: atomic { !e_deposed && e_op != 0 && !copy[0] ->
-       copy[0] = true; copy_kind[0] = e_op; copy_version[0] = e_version; copy_run[0] = e_op_run }
-  :: atomic { !e_deposed && e_op != 0 && !copy[1] ->
-       copy[1] = true; copy_kind[1] = e_op; copy_version[1] = e_version; copy_run[1] = e_op_run }
+  :: atomic { !e_deposed && e_op != 0 && !copy[0] -> send(0) }
+  :: atomic { !e_deposed && e_op != 0 && !copy[1] -> send(1) }
   /* an answer, or a conflict of the next copy, shows that it was applied */
   :: atomic { !e_deposed && e_op != 0 && !row_taken && row_version == e_version + 1 -> finish_op() }
   :: atomic { !e_deposed && row_taken -> e_deposed = true }
@@ -145,6 +169,7 @@
   atomic {
     copy[r] = false;
     if
+    :: copy_kind[r] == ACCEPT && e_op == ACCEPT && !e_deposed -> refuse()
 #ifdef NO_CHAIN
     :: copy_kind[r] != ACCEPT || !job ->
 #else
@@ -153,11 +178,11 @@
        assert(!f_scanned);
        row_version++;
        if
-       :: copy_kind[r] == ACCEPT -> job = true
+       :: copy_kind[r] == ACCEPT -> assert(!e_refused); job = true
        :: copy_kind[r] == SAVE -> saved = true
        :: copy_kind[r] == ABANDON -> abandoned = copy_run[r]
        fi
-    :: else
+    :: copy_version[r] != row_version || row_taken
     fi;
     goto end_store
   };
