--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -115,13 +115,6 @@
   curl_easy_setopt(h, CURLOPT_PREREQDATA, &t);
 }
 
-// Nothing was sent if the transfer never came past connecting.
-bool WasSent(CURL* handle) {
-  curl_off_t pretransfer = 0;
-  curl_easy_getinfo(handle, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
-  return pretransfer > 0;
-}
-
 void ReadOutcome(transfer& t, CURLcode code) {
   long status = 0;
   curl_easy_getinfo(t.handle, CURLINFO_RESPONSE_CODE, &status);
@@ -131,7 +124,7 @@
   // it looks whole, with an empty body. Only an answer that says where it ends
   // counts.
   t.reply.answered = code == CURLE_OK && t.delimited;
-  t.reply.sent = code == CURLE_OK || t.reply.copies > 0 || WasSent(t.handle);
+  t.reply.sent = t.reply.copies > 0;
   if (t.too_long)
     t.reply.error = "the answer is too long";
   else if (code == CURLE_ABORTED_BY_CALLBACK)
--- a/tests/waiting_counts_unit_test.cc
+++ b/tests/waiting_counts_unit_test.cc
@@ -36,13 +36,12 @@
 }
 
 struct entries_of_waiting_jobs {
-  // Most jobs are that entry's.
-  explicit entries_of_waiting_jobs(uint64_t seed, int owner = 0)
-      : w(ManyEntries(seed)) {
-    constexpr int kOfOwner = 40;
+  // Most jobs are entry 0's.
+  explicit entries_of_waiting_jobs(uint64_t seed) : w(ManyEntries(seed)) {
+    constexpr int kOfFirst = 40;
     w.Pass(Millis(1500));
     for (int entry = 0; entry < kEntries; ++entry) {
-      for (int i = 0; i < (entry == owner ? kOfOwner : 1); ++i)
+      for (int i = 0; i < (entry == 0 ? kOfFirst : 1); ++i)
         SubmitTo(entry);
     }
     // So that they read the table at different moments.
